--- /dev/null
+++ b/src/main/java/levergrade/SymmetricRoundRobin.java
@@ -0,0 +1,934 @@
+package levergrade;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.DoubleSummaryStatistics;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.LongConsumer;
+import java.util.stream.Stream;
+
+/**
+ * Every decision of one sidecar. Interface, settings, events and actions are in {@code Balancer.java}.
+ *
+ * <p>The ordinary path is {@link Pattern#pick}: a randomly drawn fixed order over all ready servers, the less
+ * busy of the pointed entry and the next by this sidecar's own in-flight counts. All else either narrows who
+ * may take a request now (gates in {@link Roster}, {@link Health}, {@link Admission}) or keeps the
+ * books ({@link Ledger}). {@code docs/design.md} says where each departure acts and what it gained.
+ */
+public final class SymmetricRoundRobin implements Balancer {
+    /** No registered size counts for less than this part of the largest. */
+    private static final double LEAST = 0.1;
+
+    private final Settings settings;
+    private final Actions actions;
+    private final Random random;
+    private final Pattern pattern = new Pattern();
+    private final Ledger ledger = new Ledger();
+    private final Roster roster;
+    private final Health health;
+    private final Admission admission;
+    private final Alarms alarms = new Alarms();
+
+    /** One instance a sidecar: the seed is its only source of chance. */
+    public SymmetricRoundRobin(Settings settings, long seed, Actions actions) {
+        this.settings = settings;
+        this.actions = actions;
+        this.random = new Random(seed);
+        this.roster = new Roster();
+        this.health = new Health();
+        this.admission = new Admission();
+    }
+
+    @Override
+    public void start(long now) {
+        roster.follow(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void listChanged(long now, ListKind kind, List<Upstream> entries) {
+        roster.listChanged(now, kind, entries);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void request(long now, Request request) {
+        if (request.requestClass() >= settings.classes().size()) {
+            throw new IllegalArgumentException("request of unknown class " + request.requestClass());
+        }
+        Call call = ledger.open(now, request);
+        admission.admit(now, call);
+        alarms.flush();
+    }
+
+    @Override
+    public void firstByte(long now, long request, int attempt, long upstream, long elapsed) {
+        Call call = ledger.calls.get(request);
+        if (call != null && attempt < call.attempts.size()) {
+            call.streaming = true;
+        }
+    }
+
+    @Override
+    public void outcome(long now, long request, int attempt, long upstream, Outcome outcome, long elapsed,
+            boolean ended, float[] load) {
+        ledger.outcome(now, request, attempt, outcome, ended);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void hangup(long now, long request) {
+        Call call = ledger.calls.get(request);
+        if (call != null) {
+            ledger.close(call);
+        }
+    }
+
+    @Override
+    public void peerMessage(long now, int from, byte[] message) {
+        health.heard(now, message);
+    }
+
+    @Override
+    public void timer(long now, long token) {
+        alarms.ring(now, token);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    /** The order, the pointer and the pick. */
+    private final class Pattern {
+        private final List<Server> order = new ArrayList<>();
+        private int pointer;
+
+        /** Draws a uniform permutation of all ready servers; the list comes sorted by id. */
+        void redraw(List<Server> ready) {
+            order.clear();
+            order.addAll(ready);
+            Collections.shuffle(order, random);
+            pointer = 0;
+        }
+
+        /**
+         * The less busy of the pointed entry and the next, a tie going to the pointed one; entries whose
+         * gates are shut to this request are passed over. Only first attempts turn the pointer: a walk for
+         * a further attempt sees few entries and would make the turns uneven. Null if all gates are shut.
+         */
+        Server pick(long now, Call call, boolean ignoreHealth) {
+            if (!call.attempts.isEmpty() && !ledger.mayTryAgain(now, call)) {
+                return null;
+            }
+            Server pointed = null;
+            Server passed = null;
+            int start = pointer;
+            for (int i = 0; i < order.size(); i++) {
+                int at = (start + i) % order.size();
+                Server server = order.get(at);
+                if (!mayTake(now, server, call, i == 0, ignoreHealth)) {
+                    continue;
+                }
+                if (pointed == null && call.attempts.isEmpty() && !takesTurn(now, server)) {
+                    passed = passed == null ? server : passed;
+                    continue;
+                }
+                if (pointed != null) {
+                    return server.inFlight < pointed.inFlight ? server : pointed;
+                }
+                pointed = server;
+                if (call.attempts.isEmpty()) {
+                    pointer = (at + 1) % order.size();
+                }
+            }
+            return pointed != null ? pointed : passed;
+        }
+    }
+
+    /**
+     * Danger: even turns overrun the small machines of a fleet while the large ones idle, and one that is
+     * late more than the others keeps its turns. Each turn adds to a server's credit by its registered size
+     * beside the largest (a tenth at least) and by what is noted of it; a whole credit takes the turn.
+     */
+    private boolean takesTurn(long now, Server server) {
+        double size = roster.sizes.getSum() > 0 ? Math.max(LEAST, server.size() / roster.sizes.getMax()) : 1;
+        server.turns += size * health.share(now, server);
+        return server.turns >= 1 && server.turns-- > 0;
+    }
+
+    /** All gates, cheapest first. */
+    private boolean mayTake(long now, Server server, Call call, boolean own, boolean ignoreHealth) {
+        return ledger.mayGoTo(call, server)
+                && admission.hasRoom(now, server)
+                && (ignoreHealth || health.open(now, server))
+                && roster.coldRoom(now, server, call, own);
+    }
+
+    /** A sum that forgets: what was added a window ago counts by 1/e. */
+    private static final class FadingSum {
+        private final double window;
+        private double value;
+        private long at;
+
+        FadingSum(double window) {
+            this.window = window;
+        }
+
+        double value(long now) {
+            return value * Math.exp((at - now) / window);
+        }
+
+        void add(long now, double more) {
+            value = value(now) + more;
+            at = now;
+        }
+    }
+
+    /** What is known of one upstream. */
+    private static final class Server {
+        final long id;
+        Upstream entry;
+        int inFlight;
+        long coldUntil;
+        double coldCredit = Double.NaN;
+        long coldAt;
+        long nextTrial;
+        long backoff;
+        double limit = Admission.FIRST_LIMIT;
+        int ghosts;
+        long ghostSent;
+        long ghostUntil;
+        long lastCut;
+        final FadingSum trouble;
+        /** When the latest answered attempt was sent. */
+        long answeredSent;
+        double turns;
+
+        Server(Upstream entry, long now, double window) {
+            this.trouble = new FadingSum(window);
+            this.id = entry.id();
+            this.entry = entry;
+            this.coldAt = now;
+        }
+
+        /** The registered size; an absent or absurd one counts as none. */
+        double size() {
+            return entry.weight() > 0 && entry.weight() <= Float.MAX_VALUE ? entry.weight() : 0;
+        }
+    }
+
+    private static final class Attempt {
+        final Server server;
+        final long sentAt;
+        final int crowd;
+        boolean out = true;
+        boolean mayHaveRun = true;
+
+        Attempt(Server server, long sentAt) {
+            this.server = server;
+            this.sentAt = sentAt;
+            this.crowd = server.inFlight;
+        }
+    }
+
+    private static final class Call {
+        final Request request;
+        final RequestClass kind;
+        final long deadline;
+        final long aim;
+        final long aimAt;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        boolean closed;
+        boolean held;
+        boolean streaming;
+        double expected;
+
+        Call(Request request, RequestClass kind, long now, long elapsed) {
+            this.request = request;
+            this.kind = kind;
+            this.deadline = now + request.timeLeft();
+            // Where a late answer keeps half its worth or more, only the deadline makes it worthless.
+            double stretched = kind.aim() + kind.aimStretch() * request.costHint();
+            boolean keeps = kind.lateShare() >= 0.5;
+            this.aim = (long) Math.min(stretched, kind.deadline());
+            long worthless = keeps ? kind.deadline() : aim;
+            this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, worthless);
+        }
+
+        /** Whether the last attempt is out; there is never more than one. */
+        boolean waiting() {
+            return !attempts.isEmpty() && attempts.get(attempts.size() - 1).out;
+        }
+    }
+
+    /** Each request's attempts, what is proven of them, and its one answer. */
+    private final class Ledger {
+        private final Map<Long, Call> calls = new HashMap<>();
+
+        Call open(long now, Request request) {
+            Call call = new Call(request, settings.classes().get(request.requestClass()), now,
+                    admission.elapsed(request));
+            // Danger: answers of no time would bring alarms an expected time apart to a stand.
+            call.expected = Math.max(call.aim / 1000.0,
+                    health.usual[request.requestClass()].expected(request.costHint()));
+            calls.put(request.id(), call);
+            roster.asked.add(now, call.expected);
+            alarms.set(call.deadline, at -> {
+                if (!call.streaming) {
+                    answer(call);
+                }
+            });
+            return call;
+        }
+
+        /** The first attempt that may have run, or null while every one is proven not to have. */
+        private Attempt firstDoubt(Call call) {
+            return call.attempts.stream().filter(a -> a.mayHaveRun).findFirst().orElse(null);
+        }
+
+        /** Whether some further attempt is allowed now, whichever server it goes to. */
+        boolean mayTryAgain(long now, Call call) {
+            if (call.closed || call.streaming || now >= call.deadline
+                    || call.waiting() || call.attempts.size() >= settings.allowed().tryLimit()) {
+                return false;
+            }
+            Attempt doubt = firstDoubt(call);
+            return doubt == null || switch (call.kind.semantics()) {
+                case REPEATABLE -> true;
+                case ONCE -> false;
+                // One quantum is kept back: the send takes effect at the end of this batch.
+                case BY_KEY -> now + settings.quantum() < doubt.sentAt + call.kind.keyTtl();
+            };
+        }
+
+        /** Whether the next attempt, if there may be one, may go to this server. */
+        boolean mayGoTo(Call call, Server server) {
+            if (call.attempts.stream().anyMatch(a -> a.server == server)) {
+                return false;
+            }
+            Attempt doubt = firstDoubt(call);
+            if (doubt == null || call.kind.semantics() != Semantics.BY_KEY) {
+                return true;
+            }
+            Upstream first = doubt.server.entry;
+            return switch (call.kind.scope()) {
+                case ALL -> true;
+                case ZONE -> first.zone() == server.entry.zone();
+                case CELL -> first.cell() == server.entry.cell();
+            };
+        }
+
+        /** The one place that sends. */
+        void send(long now, Call call, Server server) {
+            Attempt attempt = new Attempt(server, now);
+            call.attempts.add(attempt);
+            call.held = false;
+            server.coldCredit -= call.expected;
+            server.inFlight++;
+            actions.send(call.request.id(), server.id, 0);
+            health.watch(call, attempt, health.lateAfter(call));
+        }
+
+        void outcome(long now, long id, int number, Outcome outcome, boolean ended) {
+            Call call = calls.get(id);
+            if (call == null || number >= call.attempts.size() || !call.attempts.get(number).out) {
+                return;
+            }
+            Attempt attempt = call.attempts.get(number);
+            attempt.out = false;
+            attempt.mayHaveRun = !outcome.provesNeverRan();
+            Server server = attempt.server;
+            server.inFlight--;
+            health.ended(now, attempt, outcome, call);
+            if (outcome != Outcome.CONNECT_FAILED) {
+                admission.ended(now, attempt, outcome, call);
+            }
+            if (outcome == Outcome.OK) {
+                roster.served.add(now, call.expected);
+            }
+            if (server.inFlight == 0 && roster.trickles(now, call)) {
+                actions.closeIdle(server.id);
+            }
+            if (ended || call.closed) {
+                close(call);
+                return;
+            }
+            // Danger: held for a further attempt with every server tried, it would wait in vain.
+            if (mayTryAgain(now, call) && roster.ready.stream().anyMatch(next -> mayGoTo(call, next))
+                    && admission.worthRetry(now, call, attempt.mayHaveRun)) {
+                admission.admit(now, call);
+            } else {
+                answer(call);
+            }
+        }
+
+        /** Gives the final answer: refused where a client's retry is known to be harmless, else failed. */
+        void answer(Call call) {
+            if (call.closed) {
+                return;
+            }
+            boolean harmless = firstDoubt(call) == null || call.kind.semantics() == Semantics.REPEATABLE
+                    || call.kind.semantics() == Semantics.BY_KEY && call.kind.scope() == Scope.ALL;
+            if (harmless) {
+                long longest = settings.allowed().retryAfter() ? settings.allowed().maxRetryAfter() : 0;
+                actions.refuse(call.request.id(), Math.min(longest, call.aim / 2));
+            } else {
+                actions.fail(call.request.id());
+            }
+            close(call);
+        }
+
+        /** Nothing is sent for a closed request; its outstanding attempt still counts as in flight. */
+        void close(Call call) {
+            if (!call.closed && call.waiting() && !call.streaming && settings.allowed().cancel()) {
+                actions.cancel(call.request.id(), call.attempts.size() - 1);
+            }
+            call.closed = true;
+            call.held = false;
+            if (!call.waiting()) {
+                calls.remove(call.request.id());
+            }
+        }
+    }
+
+    /** The list, the subscription to it, and the budget of cold servers. */
+    private final class Roster {
+        private final TreeMap<Long, Server> servers = new TreeMap<>();
+        private List<Server> ready = List.of();
+        private long retryWait;
+        private long asks;
+        /** What was answered, and what was asked for, over about a ramp time. */
+        private final FadingSum served = new FadingSum(Math.max(1, settings.limits().rampTime()));
+        private final FadingSum asked = new FadingSum(Math.max(1, settings.limits().rampTime()));
+        private DoubleSummaryStatistics sizes = new DoubleSummaryStatistics();
+        /** A connection in use for less than this part of its time is not worth its place. */
+        private static final double SELDOM = 0.05;
+
+        void follow(long now) {
+            if (settings.discovery() == Discovery.SUBSCRIBE) {
+                actions.subscribe(true);
+                followAgain(now + settings.limits().askWithin() / 2);
+            }
+        }
+
+        private void followAgain(long at) {
+            long mine = ++asks;
+            alarms.set(at, now -> {
+                if (mine == asks) {
+                    follow(now);
+                }
+            });
+        }
+
+        void listChanged(long now, ListKind kind, List<Upstream> entries) {
+            if (kind == ListKind.FAILED) {
+                // Danger: a broken subscription is silent from now on, and sidecars whose calls failed
+                // together would hammer discovery together: backs off, with jitter.
+                if (retryWait == 0) {
+                    actions.log("list lost: the last one stays in force, asking again");
+                }
+                long base = Math.max(settings.quantum(), settings.limits().askWithin() / 40);
+                retryWait = Math.max(base, Math.min(retryWait * 2, settings.limits().askWithin() / 2));
+                followAgain(now + retryWait / 2 + random.nextLong(retryWait / 2 + 1));
+                return;
+            }
+            if (kind != ListKind.CACHED) {
+                asks++;
+                retryWait = 0;
+            }
+            Set<Long> missing = new TreeSet<>(kind == ListKind.DELTA ? Set.of() : servers.keySet());
+            boolean changed = false;
+            for (Upstream entry : entries) {
+                missing.remove(entry.id());
+                changed |= update(now, entry);
+            }
+            for (long id : missing) {
+                Server server = servers.get(id);
+                changed |= server.entry.state() == State.READY;
+                server.entry = server.entry.gone();
+            }
+            if (changed) {
+                ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
+                // Live weights are load reports, which have no say in turns.
+                sizes = (settings.weights() == Weights.LIVE ? Stream.<Server>of() : ready.stream())
+                        .mapToDouble(Server::size).summaryStatistics();
+                ready.forEach(s -> s.turns = random.nextDouble());
+                pattern.redraw(ready);
+            }
+        }
+
+        /** Takes one line over; true if the set of ready servers changed. */
+        private boolean update(long now, Upstream entry) {
+            Server server = servers.get(entry.id());
+            boolean wasReady = server != null && server.entry.state() == State.READY;
+            // A restarted process shares nothing with the one before: not its load, nor its faults.
+            boolean fresh = server == null || entry.startedAt() > server.entry.startedAt();
+            if (fresh) {
+                server = new Server(entry, now, health.window);
+                servers.put(entry.id(), server);
+                server.coldUntil = entry.startedAt() == 0 ? 0
+                        : entry.startedAt() + settings.limits().rampTime();
+            }
+            server.entry = entry;
+            return fresh || wasReady != (entry.state() == State.READY);
+        }
+
+        /**
+         * Danger: a cold server falls over and stays down when all sidecars together overfill it. It takes as
+         * many of its own turns as it has of its capacity. Danger: where other gates are shut, all would turn
+         * to it; turns passed on, and a busy sidecar's, need credit: what a server of this size is seen to
+         * serve FOR THIS SIDECAR, by half the factor that tips it. The credit starts at a random part of one
+         * request below nothing, or hundreds of sidecars would round their part up in the same second.
+         */
+        boolean coldRoom(long now, Server server, Call call, boolean own) {
+            if (now >= server.coldUntil) {
+                return true;
+            }
+            double passed = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
+            double cold = settings.limits().coldShare();
+            double share = cold + (1 - cold) * Math.max(0, Math.min(1, passed));
+            double factor = Math.max(1, settings.limits().overloadFactor() / 2);
+            double rate = comparable(now, server) * share * factor;
+            if (Double.isNaN(server.coldCredit)) {
+                server.coldCredit = -random.nextDouble() * call.expected;
+            }
+            double most = rate * settings.limits().tipAfter() / 2;
+            server.coldCredit = Math.min(most, server.coldCredit + rate * (now - server.coldAt));
+            server.coldAt = now;
+            return server.coldCredit >= (own && random.nextDouble() < share ? -call.expected : 0);
+        }
+
+        /**
+         * Work a nanosecond that a server of this size serves for this sidecar; what it is asked for while
+         * nothing has been served yet, or a fleet that is cold as a whole would stay unused.
+         */
+        private double comparable(long now, Server server) {
+            double sum = served.value(now);
+            double all = sum > 0 ? sum : asked.value(now);
+            double size = sizes.getSum() > 0 ? Math.min(1, server.size() / sizes.getAverage()) : 1;
+            return all / ready.size() / settings.limits().rampTime() * size;
+        }
+
+        /** Danger: many sidecars that each send a trickle fill a server's connection table with idle ones. */
+        boolean trickles(long now, Call call) {
+            return asked.value(now) / settings.limits().rampTime() / ready.size() < SELDOM;
+        }
+
+    }
+
+    /** Usual time to an answer of one class, and its growth with the hinted cost. */
+    private static final class Usual {
+        /** About the last 50 answers. */
+        private static final double NEW = 0.02;
+        /** Before that many answers a mean is a guess; waiting longer would take a crowd for calm. */
+        private static final int FEW = 20;
+        double mean;
+        /** The lowest mean, forgotten over some thousand answers: what an uncrowded fleet takes. */
+        double calm = Double.MAX_VALUE;
+        private long seen;
+        private double cost;
+
+        Usual(double first) {
+            mean = first;
+        }
+
+        void learn(double took, double hint) {
+            // Cut at three times the expected: one slow server must not become what is usual.
+            double time = Math.min(took, 3 * expected(hint));
+            double part = Math.max(NEW, 1.0 / ++seen);
+            mean += part * (time - mean);
+            // Danger: a first guess taken for calm makes every answer of the first seconds look crowded.
+            calm = seen < FEW ? calm : Math.min(calm * 1.0005, mean);
+            cost += part * (hint - cost);
+        }
+
+        double expected(double hint) {
+            // Half of the time grows with the work, the other half is waiting of any kind.
+            return hint <= 0 || cost <= 0 ? mean : mean * (1 + hint / cost) / 2;
+        }
+    }
+
+    /** Evidence about each server, from this sidecar's own attempts and from its peers' notes. */
+    private final class Health {
+        /** Part of the aim: what takes longer leaves no time for a second try with its own delays. */
+        static final double LATE = 0.4;
+        /** Times the calm answer: longer is rare in work of any usual spread. */
+        private static final double TAIL = 4;
+        /** Notes of one server that may be chance. */
+        private static final double FEW = 1;
+        /** A note is an upstream's id and a weight: 1 for lateness, 2 for what hurts at once. */
+        private static final int NOTE = 8;
+        private static final int HEAVY = 2;
+        /** Bytes that may reach peers for each own request, all receivers together: few beside a request. */
+        private static final double NOTED = 128;
+        private final double noteIncome = NOTED / NOTE / settings.replicas();
+
+        /** Of each class, over all servers, starting from a tenth of its aim. */
+        private final Usual[] usual = new Usual[settings.classes().size()];
+        private final long firstBackoff = settings.classes().stream().mapToLong(c -> c.aim()).min().orElse(1);
+        /** Two of the longest aims: a late answer is still counted when the next ones come. */
+        private final double window =
+                4.0 * settings.classes().stream().mapToLong(c -> c.aim()).max().orElse(1);
+        private final FadingSum trouble = new FadingSum(window);
+        private double noteTokens;
+
+        Health() {
+            for (int i = 0; i < usual.length; i++) {
+                usual[i] = new Usual(settings.classes().get(i).aim() / 10.0);
+            }
+        }
+
+        /** When an attempt counts as late. Danger: long calm answers taken for late would shed for good. */
+        long lateAfter(Call call) {
+            Usual usual = this.usual[call.request.requestClass()];
+            double calm = call.expected * Math.min(usual.calm, usual.mean) / usual.mean;
+            double least = Math.max(LATE * call.aim, usual.calm <= usual.mean ? TAIL / 2 * calm : 0);
+            double late = Math.max(least, Math.min(TAIL * calm, 1.5 * LATE * call.aim));
+            return Math.max(Math.max(1, settings.quantum()), (long) late);
+        }
+
+        /**
+         * Danger: each of many sidecars sees little of any one server, and a hung or crowded one answers
+         * nothing. An attempt out for long, with nothing sent after it answered, is noted at each doubling.
+         */
+        void watch(Call call, Attempt attempt, long wait) {
+            alarms.set(attempt.sentAt + wait, at -> {
+                if (attempt.out && attempt.server.answeredSent <= attempt.sentAt) {
+                    admission.late(at, call, attempt, wait);
+                    note(at, attempt.server, 1);
+                    watch(call, attempt, 2 * wait);
+                }
+            });
+        }
+
+        /** First-hand evidence: counted here, and told to the peers as far as the budget for that goes. */
+        private void note(long now, Server server, int weight) {
+            count(now, server, weight);
+            if (noteTokens >= 1 && settings.allowed().peers() && settings.replicas() > 1) {
+                noteTokens--;
+                byte[] note = ByteBuffer.allocate(NOTE).putLong(server.id << 16 | weight).array();
+                actions.tell(Actions.ALL_PEERS, note);
+            }
+        }
+
+        private void count(long now, Server server, int weight) {
+            server.trouble.add(now, weight);
+            trouble.add(now, weight);
+        }
+
+        /** A peer's note; never passed on. What is malformed or names no server listed here is ignored. */
+        void heard(long now, byte[] message) {
+            if (message.length == NOTE) {
+                long note = ByteBuffer.wrap(message).getLong();
+                Server server = roster.servers.get(note >>> 16);
+                if (server != null) {
+                    count(now, server, (int) Math.min(note & 0xffff, HEAVY));
+                }
+            }
+        }
+
+        /**
+         * The part of its turns that a server takes: all, unless more is noted of it than of the others.
+         * Danger: a trouble common to all would empty the pattern; what is noted of all alike does nothing.
+         */
+        double share(long now, Server server) {
+            double mean = trouble.value(now) / Math.max(1, roster.ready.size());
+            double part = (mean + FEW) / (server.trouble.value(now) + FEW);
+            return part >= 1 ? 1 : part * part;
+        }
+
+        /** Shut by a failed connect, which costs a request the connect time-out; opens for rare trials. */
+        boolean open(long now, Server server) {
+            return now >= server.nextTrial;
+        }
+
+        void ended(long now, Attempt attempt, Outcome outcome, Call call) {
+            Server server = attempt.server;
+            if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
+                server.answeredSent = Math.max(server.answeredSent, attempt.sentAt);
+                if (server.nextTrial > 0) {
+                    actions.log("upstream " + server.id + " answers again");
+                }
+                server.nextTrial = 0;
+            }
+            switch (outcome) {
+                case OK -> usual[call.request.requestClass()]
+                        .learn(now - attempt.sentAt, call.request.costHint());
+                case CONNECT_FAILED -> {
+                    if (server.nextTrial == 0) {
+                        actions.log("upstream " + server.id + " shut out: no connection");
+                        server.backoff = firstBackoff / 2;
+                    }
+                    server.backoff = Math.min(2 * server.backoff, 8 * firstBackoff);
+                    server.nextTrial = now + server.backoff;
+                    note(now, server, HEAVY);
+                }
+                case ERROR -> note(now, server, HEAVY);
+                case RESET, REJECTED -> note(now, server, 1);
+                default -> { }
+            }
+        }
+    }
+
+    /** One tenant's held work and what it has had lately of its quota. */
+    private static final class Share {
+        /** Newest first. Danger: first-in first-out under overload makes every answer late. */
+        private final ArrayDeque<Call> held = new ArrayDeque<>();
+        private final double quota;
+        private final FadingSum spent;
+        private long skippedAt;
+
+        Share(double quota, double window) {
+            this.quota = quota;
+            this.spent = new FadingSum(window);
+        }
+
+        double used(long now) {
+            return spent.value(now) / quota;
+        }
+    }
+
+    /** Learned concurrency limits, held work, refusals, and the budget of further attempts. */
+    private final class Admission {
+        /** Room for two-choice to act; many sidecars start together, so no more before anything is known. */
+        static final double FIRST_LIMIT = 2;
+        /** Enough that a jam of later tries does not unseat the first ones at once. */
+        private static final int MANY_VOTES = 1000;
+        private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
+        private int held;
+        private long drains;
+        private final long[] firstLeft = new long[settings.classes().size()];
+        private final int[] firstVotes = new int[settings.classes().size()];
+        private long busyUntil;
+        private boolean drainSet;
+        /** Lost when an attempt is late and when twice as late; won back by quarters, after three in full. */
+        private static final double CUT = 0.2;
+        /** One cut over the whole at most: a rare late answer sheds nothing. */
+        private double admitted = 1 + CUT;
+        private boolean shedding;
+        private int inTime;
+        private double ration = random.nextDouble();
+        private double retryTokens = 1;  // many sidecars start together
+
+        Admission() {
+            for (int i = 0; i < shares.length; i++) {
+                double quota = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).quotaPerSecond();
+                // Four aims: long against answers, short against a burst of some seconds.
+                shares[i] = new Share(quota > 0 ? quota : 1, 4.0 * settings.classes().get(0).aim());
+            }
+        }
+
+        /**
+         * Time the client has spent on earlier tries. First tries have the same part of the deadline left,
+         * the commonest (until two of three differ); any other value tells the time spent.
+         */
+        long elapsed(Request request) {
+            int kind = request.requestClass();
+            long left = request.timeLeft();
+            if (Math.abs(left - firstLeft[kind]) <= 2 * settings.quantum()) {
+                firstVotes[kind] = Math.min(firstVotes[kind] + 2, MANY_VOTES);
+                return 0;
+            }
+            if (--firstVotes[kind] < 0) {
+                firstLeft[kind] = left;
+                firstVotes[kind] = 0;
+                return 0;
+            }
+            return Math.max(0, settings.classes().get(kind).deadline() - left);
+        }
+
+        /** Sends a request now, or holds it while it can still be answered within its aim. */
+        void admit(long now, Call call) {
+            if (call.attempts.isEmpty()) {
+                retryTokens = Math.min(20, retryTokens + 0.1);  // a tenth more work, and a short burst
+                health.noteTokens = Math.min(2, health.noteTokens + health.noteIncome);
+            }
+            if (now >= call.deadline || roster.ready.isEmpty() || shed(call)) {
+                ledger.answer(call);
+                return;
+            }
+            boolean worthless = call.attempts.isEmpty() && now + call.expected / 2 >= call.aimAt;
+            if (worthless && now < busyUntil) {
+                ledger.answer(call);
+            } else if (held > 0 || !place(now, call)) {
+                busyUntil = now + call.aim;
+                call.held = true;
+                share(call).held.push(call);
+                held++;
+                long hopeless = call.aimAt - (long) (1.5 * call.expected);  // later, half would be late
+                alarms.set(Math.max(now + 1, hopeless), at -> {
+                    if (call.held) {
+                        ledger.answer(call);
+                    }
+                });
+                drainSoon(now, call);
+                drain(now);
+            }
+        }
+
+        /**
+         * Danger: no limit per server binds where each of many sidecars has one request out here and there,
+         * and together they queue all work past its aim for good. Lateness at a server no worse than others
+         * that held nothing else of this sidecar's cuts the share of first tries admitted, by the worth that
+         * lateness takes; each answer in time wins a part back.
+         */
+        void late(long now, Call call, Attempt attempt, long wait) {
+            if (attempt.crowd == 0 && wait < 4 * health.lateAfter(call)
+                    && health.share(now, attempt.server) > 0.5) {
+                inTime = 0;
+                move(-CUT * (1 - call.kind.lateShare()));
+            }
+        }
+
+        private void move(double by) {
+            admitted = Math.max(CUT / 4, Math.min(1 + CUT, admitted + by));
+            if (shedding ? admitted >= 1 : admitted < 0.5) {
+                shedding = !shedding;
+                actions.log("load shedding " + (shedding ? "begins: answers come late everywhere" : "ends"));
+            }
+        }
+
+        /** Load shedding, spread evenly over the first tries. */
+        private boolean shed(Call call) {
+            if (!call.attempts.isEmpty()) {
+                return false;
+            }
+            ration += admitted;
+            return ration < 1 || ration-- < 1;
+        }
+
+        private Share share(Call call) {
+            return shares[Math.min(call.request.tenant(), shares.length - 1)];
+        }
+
+        private void drainSoon(long now, Call call) {
+            if (!drainSet) {
+                drainSet = true;
+                alarms.set(now + Math.max(settings.quantum(), call.aim / 50), at -> drainSet = false);
+            }
+        }
+
+        private boolean place(long now, Call call) {
+            Server server = pattern.pick(now, call, false);
+            // Danger: a trouble common to all would empty the pattern. Gates that all shut do not count.
+            if (server == null && roster.ready.stream().noneMatch(s -> health.open(now, s))) {
+                server = pattern.pick(now, call, true);
+            }
+            if (server == null) {
+                return false;
+            }
+            ledger.send(now, call, server);
+            share(call).spent.add(now, call.expected);
+            return true;
+        }
+
+        /** Gives freed room to held work, of the tenant that had the least of its quota first. */
+        void drain(long now) {
+            drains++;
+            while (held > 0) {
+                Share poorest = Arrays.stream(shares)
+                        .filter(share -> !share.held.isEmpty() && share.skippedAt != drains)
+                        .min(Comparator.comparingDouble(share -> share.used(now))).orElse(null);
+                if (poorest == null) {
+                    return;
+                }
+                Call call = poorest.held.peek();
+                if (call.held && !place(now, call)) {
+                    poorest.skippedAt = drains;
+                    drainSoon(now, call);
+                } else {
+                    poorest.held.remove(call);
+                    held--;
+                }
+            }
+        }
+
+        /**
+         * Danger: work given up at its deadline may stay in the server's queue, and a count that forgets it
+         * refills a full queue with work that will be given up too. Such ghosts count against the limit until
+         * the server answers something sent after them, or another deadline has passed.
+         */
+        boolean hasRoom(long now, Server server) {
+            if (server.ghosts > 0 && now >= server.ghostUntil) {
+                server.ghosts = 0;
+            }
+            return server.inFlight + server.ghosts < Math.max(1, (int) server.limit);
+        }
+
+        void ended(long now, Attempt attempt, Outcome outcome, Call call) {
+            Server server = attempt.server;
+            if (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) {
+                server.ghosts++;
+                server.ghostSent = Math.max(server.ghostSent, attempt.sentAt);
+                server.ghostUntil = now + call.kind.deadline();
+            } else if (outcome == Outcome.OK && attempt.sentAt >= server.ghostSent) {
+                server.ghosts = 0;
+            }
+            if (outcome == Outcome.OK && now - attempt.sentAt < health.lateAfter(call)) {
+                move(++inTime > 2 ? CUT : CUT / 4);
+            } else if (outcome == Outcome.REJECTED) {
+                late(now, call, attempt, 2 * health.lateAfter(call));
+            }
+            Usual usual = health.usual[call.request.requestClass()];
+            double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
+            if (outcome == Outcome.REJECTED || scaled > Health.LATE * call.aim) {
+                if (attempt.sentAt >= server.lastCut) {
+                    server.limit = Math.max(0.1, server.limit * 0.8);
+                    server.lastCut = now;
+                }
+            } else if (outcome == Outcome.OK && attempt.crowd + 1 >= server.limit / 2) {
+                server.limit += Math.min(0.2 * server.limit, 1 / server.limit);  // one a round trip
+            }
+        }
+
+        /** Proven non-runs cost no work and need no token. */
+        boolean worthRetry(long now, Call call, boolean mayHaveRun) {
+            boolean worth = now < call.aimAt && (!mayHaveRun || retryTokens >= 1);
+            retryTokens -= worth && mayHaveRun ? 1 : 0;
+            return worth;
+        }
+    }
+
+    /** Alarms of the module behind one timer of the host. */
+    private final class Alarms {
+        private record Alarm(long at, long serial, LongConsumer what) { }
+
+        private final PriorityQueue<Alarm> queue = new PriorityQueue<>((a, b) ->
+                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.serial, b.serial));
+        private long serials;
+        private long timerAt = Long.MAX_VALUE;
+        private long timerToken;
+
+        void set(long at, LongConsumer what) {
+            queue.add(new Alarm(at, serials++, what));
+        }
+
+        void flush() {
+            if (!queue.isEmpty() && queue.peek().at < timerAt) {
+                timerAt = queue.peek().at;
+                actions.timer(++timerToken, timerAt);
+            }
+        }
+
+        /** Danger: a coarse host clock may ring early; told by its time, the one timer would be lost. */
+        void ring(long now, long token) {
+            if (token == timerToken) {
+                timerAt = Long.MAX_VALUE;
+            }
+            while (!queue.isEmpty() && queue.peek().at <= now) {
+                queue.poll().what.accept(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/adapter/Cursor.java
@@ -0,0 +1,123 @@
+package levergrade.adapter;
+
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+import java.nio.charset.StandardCharsets;
+
+/** Reads little-endian fields of one frame's body and never runs past the end of the current record. */
+final class Cursor {
+    private final ByteBuffer buffer;
+    private int recordStart;
+    private int recordEnd;
+
+    Cursor(byte[] bytes, int length) {
+        buffer = ByteBuffer.wrap(bytes, 0, length).order(ByteOrder.LITTLE_ENDIAN);
+    }
+
+    /** Starts the next record and returns its code. */
+    int nextRecord() {
+        recordStart = buffer.position();
+        if (buffer.remaining() < 5) {
+            throw new WireException("record header cut short at byte " + recordStart);
+        }
+        int code = buffer.get() & 0xff;
+        long length = buffer.getInt() & 0xffffffffL;
+        if (length > buffer.remaining()) {
+            throw new WireException("record at byte " + recordStart + " states " + length + " bytes, "
+                    + buffer.remaining() + " are left");
+        }
+        recordEnd = buffer.position() + (int) length;
+        return code;
+    }
+
+    /** Ends a record; fields added by later versions of the wire are passed over. */
+    void endRecord() {
+        buffer.position(recordEnd);
+    }
+
+    int recordStart() {
+        return recordStart;
+    }
+
+    boolean atEnd() {
+        return !buffer.hasRemaining();
+    }
+
+    private void need(long bytes) {
+        if (bytes > recordEnd - buffer.position()) {
+            throw new WireException("field cut short in the record at byte " + recordStart);
+        }
+    }
+
+    int u8() {
+        need(1);
+        return buffer.get() & 0xff;
+    }
+
+    int u16() {
+        need(2);
+        return buffer.getShort() & 0xffff;
+    }
+
+    long u32() {
+        need(4);
+        return buffer.getInt() & 0xffffffffL;
+    }
+
+    long i64() {
+        need(8);
+        return buffer.getLong();
+    }
+
+    float f32() {
+        need(4);
+        return buffer.getFloat();
+    }
+
+    /** A time: unsigned on the wire, but no clock or span reaches the top bit. */
+    long time(String field) {
+        long value = i64();
+        if (value < 0) {
+            throw new WireException(field + " out of range in the record at byte " + recordStart);
+        }
+        return value;
+    }
+
+    /** An upstream: four address bytes and a port, packed as one opaque number. */
+    long upstream() {
+        long address = u32();
+        return address << 16 | u16();
+    }
+
+    byte[] bytes(long count) {
+        need(count);
+        byte[] out = new byte[(int) count];
+        buffer.get(out);
+        return out;
+    }
+
+    String text(long count) {
+        return new String(bytes(count), StandardCharsets.UTF_8);
+    }
+
+    float[] report() {
+        int count = u8();
+        if (count == 0) {
+            return Replies.NO_REPORT;
+        }
+        float[] values = new float[count];
+        for (int i = 0; i < count; i++) {
+            values[i] = f32();
+        }
+        return values;
+    }
+
+    /** The value an ordinal names, or an error saying which field was out of range. */
+    <T> T choice(T[] values, int ordinal, String field) {
+        if (ordinal >= values.length) {
+            throw new WireException(field + " " + ordinal + " out of range in the record at byte "
+                    + recordStart);
+        }
+        return values[ordinal];
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/adapter/Main.java
@@ -0,0 +1,71 @@
+package levergrade.adapter;
+
+import java.io.BufferedInputStream;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
+
+/** Entry point: {@code java -jar levergrade.jar adapter} plays the wire on standard input and output. */
+public final class Main {
+    private static final int HEADER = 16;
+
+    private Main() { }
+
+    /** Runs the adapter until input ends; a malformed frame ends it with a message and exit status 1. */
+    public static void main(String[] args) {
+        if (args.length != 1 || !args[0].equals("adapter")) {
+            System.err.println("usage: java -jar levergrade.jar adapter");
+            System.exit(2);
+        }
+        try {
+            run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+                    new FileOutputStream(FileDescriptor.out));
+        } catch (WireException | IllegalArgumentException | IOException e) {
+            System.err.println("levergrade: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    static void run(InputStream in, OutputStream out) throws IOException {
+        Replies replies = new Replies();
+        Host host = new Host(replies);
+        byte[] header = new byte[HEADER];
+        byte[] body = new byte[1 << 16];
+        for (long frame = 0;; frame++) {
+            int got = in.readNBytes(header, 0, HEADER);
+            if (got == 0) {
+                return;
+            }
+            if (got < HEADER) {
+                throw new WireException("frame " + frame + ": header cut short after " + got + " bytes");
+            }
+            ByteBuffer head = ByteBuffer.wrap(header).order(ByteOrder.LITTLE_ENDIAN);
+            long now = head.getLong();
+            long length = head.getInt() & 0xffffffffL;
+            long records = head.getInt() & 0xffffffffL;
+            if (now < 0 || length < HEADER || length > Integer.MAX_VALUE - 64) {
+                throw new WireException("frame " + frame + ": clock or length out of range");
+            }
+            int size = (int) length - HEADER;
+            if (body.length < size) {
+                body = new byte[size + size / 2];
+            }
+            got = in.readNBytes(body, 0, size);
+            if (got < size) {
+                throw new WireException("frame " + frame + ": states " + length + " bytes, ends after "
+                        + (got + HEADER));
+            }
+            try {
+                host.batch(now, records, new Cursor(body, size));
+            } catch (WireException | IllegalArgumentException e) {
+                throw new WireException("frame " + frame + ": " + e.getMessage());
+            }
+            replies.writeTo(out);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/adapter/Options.java
@@ -0,0 +1,121 @@
+package levergrade.adapter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import levergrade.Balancer.Allowed;
+import levergrade.Balancer.Discovery;
+import levergrade.Balancer.Limits;
+import levergrade.Balancer.RequestClass;
+import levergrade.Balancer.Scope;
+import levergrade.Balancer.Semantics;
+import levergrade.Balancer.Settings;
+import levergrade.Balancer.Tenant;
+import levergrade.Balancer.Weights;
+
+/**
+ * Turns the path=value lines of a provision event into {@link Settings}; keys it does not know are
+ * skipped.
+ */
+final class Options {
+    private final Map<String, String> values = new HashMap<>();
+
+    private Options(String text) {
+        for (String line : text.split("\n")) {
+            int equals = line.indexOf('=');
+            if (equals > 0) {
+                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+            }
+        }
+    }
+
+    static Settings parse(String text) {
+        return new Options(text).settings();
+    }
+
+    private Settings settings() {
+        List<RequestClass> classes = new ArrayList<>();
+        int classCount = (int) required("profiles.count");
+        for (int i = 0; i < classCount; i++) {
+            classes.add(requestClass("profiles." + i + "."));
+        }
+        List<Tenant> tenants = new ArrayList<>();
+        int tenantCount = (int) number("parties.count", 0);
+        for (int i = 0; i < tenantCount; i++) {
+            String path = "parties." + i + ".";
+            tenants.add(new Tenant(number(path + "portion", 0), number(path + "quotaRps", 0)));
+        }
+        String fields = values.getOrDefault("report.fields", "");
+        return new Settings((int) number("rank", 0), (int) number("replicasOfMe", 1), (int) number("zone", 0),
+                (long) number("quantum", 0), choice(Discovery.class, "discovery", Discovery.AUTOMATIC),
+                choice(Weights.class, "weights", Weights.SILENT), classes, tenants,
+                allowed(), limits(), fields.isEmpty() ? List.of() : List.of(fields.split(",")),
+                "work".equals(values.get("valueBy")), number("overShareWorth", 1));
+    }
+
+    private RequestClass requestClass(String path) {
+        Semantics semantics = choice(Semantics.class, path + "semantics", null);
+        return new RequestClass((long) required(path + "slo"), number(path + "aimStretch", 0),
+                (long) required(path + "deadline"), number(path + "worth", 1), number(path + "lateShare", 0),
+                semantics, choice(Scope.class, path + "keyScope", Scope.CELL),
+                (long) number(path + "keyTtl", 0), flag(path + "stream"));
+    }
+
+    private Allowed allowed() {
+        return new Allowed(flag("caps.mayCancel"), flag("caps.mayProbe"), flag("caps.peers"),
+                flag("caps.parallelTries"), flag("caps.retryAfter"), (int) number("caps.tryLimit", 1),
+                (long) number("caps.maxRetryAfter", 0), (long) number("caps.connectTimeout", 0));
+    }
+
+    private Limits limits() {
+        return new Limits((long) required("rules.answerSlack"), (long) number("rules.askWithin", 0),
+                (long) required("rules.stopSendingWithin"), required("rules.coldShare"),
+                (long) required("rules.rampTime"), required("rules.overloadFactor"),
+                (long) required("rules.tipAfter"));
+    }
+
+    private boolean flag(String key) {
+        return "true".equals(values.get(key));
+    }
+
+    private double required(String key) {
+        if (!values.containsKey(key)) {
+            throw new WireException("setting missing: " + key);
+        }
+        return number(key, 0);
+    }
+
+    private double number(String key, double absent) {
+        String text = values.get(key);
+        if (text == null || text.isEmpty()) {
+            return absent;
+        }
+        try {
+            double value = Double.parseDouble(text);
+            if (Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // Told below, together with what parses but is no number.
+        }
+        throw new WireException("setting is not a number: " + key + "=" + text);
+    }
+
+    /** An enum setting; {@code absent} null makes it required. */
+    private <E extends Enum<E>> E choice(Class<E> type, String key, E absent) {
+        String text = values.get(key);
+        if (text == null) {
+            if (absent == null) {
+                throw new WireException("setting missing: " + key);
+            }
+            return absent;
+        }
+        try {
+            return Enum.valueOf(type, text.toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            throw new WireException("setting has an unknown value: " + key + "=" + text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/adapter/WireException.java
@@ -0,0 +1,10 @@
+package levergrade.adapter;
+
+/** Input that breaks the wire's format; the message says what and where. */
+final class WireException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    WireException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/SymmetricRoundRobinTest.java
@@ -0,0 +1,680 @@
+package levergrade;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static levergrade.Recorder.BY_ANY;
+import static levergrade.Recorder.BY_CELL;
+import static levergrade.Recorder.MS;
+import static levergrade.Recorder.ONCE;
+import static levergrade.Recorder.REPEATABLE;
+import static levergrade.Recorder.settings;
+import static levergrade.Recorder.upstream;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import levergrade.Balancer.Discovery;
+import levergrade.Balancer.ListKind;
+import levergrade.Balancer.Outcome;
+import levergrade.Balancer.State;
+
+class SymmetricRoundRobinTest {
+
+    private static Recorder host(Balancer.RequestClass... classes) {
+        return new Recorder(settings(classes), 7);
+    }
+
+    /** One turn of upstreams by requests that are answered at once, so that counts always tie. */
+    private static List<Long> turn(Recorder host, int length, long firstId) {
+        List<Long> order = new ArrayList<>();
+        for (int i = 0; i < length; i++) {
+            host.request(firstId + i, 0);
+            order.add(host.last().upstream());
+            host.advance(MS);
+            host.outcome(host.last(), Outcome.OK);
+        }
+        return order;
+    }
+
+    // ---------------------------------------------------------------- the mechanism
+
+    @Test
+    void orderIsCycledAndEvenWhileCountsTie() {
+        Recorder host = host(REPEATABLE).withUpstreams(5);
+        List<Long> first = turn(host, 5, 0);
+        assertEquals(5, new HashSet<>(first).size());
+        assertEquals(first, turn(host, 5, 5));
+        assertEquals(first, turn(host, 5, 10));
+    }
+
+    @Test
+    void everyPermutationIsAboutEquallyLikely() {
+        Map<List<Long>, Integer> seen = new HashMap<>();
+        for (int seed = 0; seed < 6_000; seed++) {
+            Recorder host = new Recorder(settings(REPEATABLE), seed).withUpstreams(3);
+            seen.merge(turn(host, 3, 0), 1, Integer::sum);
+        }
+        assertEquals(6, seen.size());
+        // 1000 expected each; 150 is over five standard deviations.
+        seen.values().forEach(count -> assertTrue(Math.abs(count - 1_000) < 150, seen.toString()));
+    }
+
+    @Test
+    void lessBusyOfPointedAndNextIsChosen() {
+        Recorder host = host(REPEATABLE).withUpstreams(3);
+        List<Long> order = turn(host, 3, 0);
+        host.request(10, 0);
+        assertEquals(order.get(0), host.last().upstream());
+        host.request(11, 0);
+        host.request(12, 0);
+        assertEquals(order.get(2), host.last().upstream());
+        host.outcome(host.sendsOf(11).get(0), Outcome.OK);
+        host.request(13, 0);
+        assertEquals(order.get(1), host.last().upstream(), "pointed holds one, the next none");
+    }
+
+    @Test
+    void redrawnOnlyWhenTheReadySetChanges() {
+        Recorder host = host(REPEATABLE).withUpstreams(8);
+        List<Long> before = turn(host, 8, 0);
+        host.logic.listChanged(host.now, ListKind.DELTA, List.of(upstream(3)));
+        assertEquals(before, turn(host, 8, 20));
+        host.logic.listChanged(host.now, ListKind.DELTA, List.of(upstream(3, State.GONE, 0)));
+        List<Long> after = turn(host, 7, 40);
+        assertFalse(after.contains(3L));
+        before.remove(3L);
+        assertNotEquals(before, after, "a fresh draw; this seed gives another order");
+    }
+
+    @Test
+    void withNothingReadyTheRequestIsRefusedAtOnce() {
+        Recorder host = host(ONCE).withUpstreams(0);
+        host.request(1, 0);
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    @Test
+    void sameEventsGiveSameActions() {
+        List<List<String>> logs = new ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Recorder host = host(REPEATABLE, ONCE).withUpstreams(6);
+            host.serve(0, 60, 0, 3 * MS);
+            for (int i = 100; i < 160; i++) {
+                host.request(i, i % 2);
+                host.advance(2 * MS);
+            }
+            host.advance(2_000 * MS);
+            logs.add(host.log);
+        }
+        assertEquals(logs.get(0), logs.get(1));
+    }
+
+    // ---------------------------------------------------------------- rule 1
+
+    @Test
+    void aTimerThatRingsEarlyDoesNotLoseRequests() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.request(1, 0);
+        Recorder.Timer timer = host.timers.poll();
+        host.now = timer.at() - 30;
+        host.logic.timer(host.now, timer.token());
+        host.advance(2_000 * MS);
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    @Test
+    void heldRequestsAreAnsweredBeforeTheirDeadline() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 50, 0);
+        host.advance(1_000 * MS);
+        assertEquals(50, new HashSet<>(host.answers).size());
+        assertEquals(50, host.answers.size());
+    }
+
+    @Test
+    void noTimeLeftIsAnsweredAtOnce() {
+        Recorder host = host(ONCE).withUpstreams(3);
+        host.request(1, 0, 0);
+        assertEquals(List.of("refuse 1"), host.answers);
+        assertTrue(host.sends.isEmpty());
+    }
+
+    @Test
+    void timeOutAtTheDeadlineIsFailedOnce() {
+        Recorder host = host(ONCE).withUpstreams(3);
+        host.request(1, 0);
+        Recorder.Sent sent = host.last();
+        host.now += 1_000 * MS;
+        host.outcome(sent, Outcome.TIMEOUT);
+        host.advance(100 * MS);
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    // ---------------------------------------------------------------- rule 2
+
+    @Test
+    void onceIsResentOnlyAfterProofThatItNeverRan() {
+        for (Outcome outcome : Outcome.values()) {
+            if (outcome == Outcome.OK) {
+                continue;
+            }
+            Recorder host = host(ONCE).withUpstreams(4);
+            host.request(1, 0);
+            host.outcome(host.last(), outcome);
+            assertEquals(outcome.provesNeverRan() ? 2 : 1, host.sends.size(), outcome.toString());
+            if (!outcome.provesNeverRan()) {
+                assertEquals(List.of("fail 1"), host.answers);
+            }
+        }
+    }
+
+    @Test
+    void keyedStaysInItsCellAndWithinItsTime() {
+        Recorder host = host(BY_CELL).withUpstreams(9);
+        host.request(1, 0);
+        long cell = host.last().upstream() / 3;
+        host.outcome(host.last(), Outcome.ERROR);
+        assertEquals(2, host.sends.size());
+        assertEquals(cell, host.last().upstream() / 3);
+        host.now += 699 * MS;
+        host.outcome(host.last(), Outcome.ERROR);
+        assertEquals(2, host.sends.size(), "the key is about to be forgotten");
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    @Test
+    void keyedWithScopeAllMayBeRefusedAfterDoubt() {
+        Recorder host = host(BY_ANY).withUpstreams(1);
+        host.request(1, 0);
+        host.outcome(host.last(), Outcome.RESET);
+        host.advance(1_000 * MS);
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    @Test
+    void tryLimitIsKept() {
+        Recorder host = host(REPEATABLE).withUpstreams(9);
+        host.request(1, 0);
+        for (int i = 0; i < 5 && host.answers.isEmpty(); i++) {
+            host.outcome(host.last(), Outcome.REJECTED);
+        }
+        assertEquals(3, host.sends.size());
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    // ---------------------------------------------------------------- rule 3
+
+    @Test
+    void drainingAndMissingUpstreamsGetNothingNew() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.logic.listChanged(host.now, ListKind.DELTA, List.of(upstream(2, State.DRAINING, 0)));
+        assertFalse(turn(host, 12, 0).contains(2L));
+        host.logic.listChanged(host.now, ListKind.FULL, List.of(upstream(0), upstream(1)));
+        assertEquals(Set.of(0L, 1L), new HashSet<>(turn(host, 12, 20)));
+    }
+
+    @Test
+    void failedSubscriptionKeepsTheListAndBacksOff() {
+        Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, REPEATABLE), 7).withUpstreams(3);
+        assertEquals(1, host.subscriptions);
+        for (int i = 0; i < 8; i++) {
+            host.logic.listChanged(host.now, ListKind.FAILED, List.of());
+            host.advance(5_000 * MS);
+            assertEquals(i + 2, host.subscriptions);
+        }
+        host.request(1, 0);
+        assertEquals(1, host.sends.size());
+        host.logic.listChanged(host.now, ListKind.FAILED, List.of());
+        host.advance(2_000 * MS);
+        assertEquals(9, host.subscriptions, "after eight failures it waits");
+    }
+
+    @Test
+    void unansweredSubscriptionIsRepeated() {
+        Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, REPEATABLE), 7).withUpstreams(3);
+        host.advance(6_000 * MS);
+        assertEquals(2, host.subscriptions);
+    }
+
+    // ---------------------------------------------------------------- rule 4
+
+    @Test
+    void coldUpstreamGetsNoMoreThanItsShareOfAWarmOne() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 2_000, 0, 5 * MS);
+        host.logic.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+        int before = host.sends.size();
+        host.serve(5_000, 5_300, 0, 5 * MS);
+        long cold = host.sentTo(9, before);
+        // 1.5 s at 200 a second over 4 warm servers: 75 each; the cold share is 0.3 and has hardly grown.
+        assertTrue(cold > 5 && cold < 40, "cold upstream got " + cold);
+    }
+
+    @Test
+    void manyQuietSidecarsDoNotRushAColdUpstreamTogether() {
+        int sent = 0;
+        long cold = 0;
+        for (int sidecar = 0; sidecar < 600; sidecar++) {
+            Recorder host = new Recorder(settings(REPEATABLE), sidecar).withUpstreams(10);
+            for (int id = 0; id < 20; id++) {
+                host.serve(id, id + 1, 0, 20 * MS);
+                host.advance(480 * MS);
+            }
+            host.logic.listChanged(host.now, ListKind.DELTA, List.of(upstream(99, State.READY, host.now)));
+            int before = host.sends.size();
+            for (int id = 100; id < 103; id++) {
+                host.serve(id, id + 1, 0, 20 * MS);
+                host.advance(480 * MS);
+            }
+            sent += host.sends.size() - before;
+            cold += host.sentTo(99, before);
+        }
+        // 1800 requests in 1.5 s over 11 servers: 164 each; the cold share grows from 0.3 to 0.43.
+        assertEquals(1_800, sent);
+        assertTrue(cold > 5 && cold < 70, "cold upstream got " + cold);
+    }
+
+    @Test
+    void turnsFollowTheRegisteredSize() {
+        Balancer.Settings base = settings(REPEATABLE);
+        Recorder host = new Recorder(new Balancer.Settings(0, 3, 0, 5 * MS, Discovery.AUTOMATIC,
+                Balancer.Weights.ROUGH, base.classes(), List.of(), base.allowed(), base.limits(),
+                List.of(), false, 1), 7);
+        host.logic.listChanged(host.now, ListKind.CACHED, List.of(
+                new Balancer.Upstream(0, 0, 0, 0, State.READY, 4, 0),
+                new Balancer.Upstream(1, 0, 0, 0, State.READY, 2, 0),
+                new Balancer.Upstream(2, 0, 0, 0, State.READY, 2, 0)));
+        host.serve(0, 400, 0, 20 * MS);
+        assertEquals(200, host.sentTo(0, 0), 2);
+        assertEquals(100, host.sentTo(1, 0), 2);
+    }
+
+    @Test
+    void absurdWeightsDoNoHarm() {
+        for (float weight : new float[] {0, -1, Float.NaN, Float.POSITIVE_INFINITY}) {
+            Balancer.Settings base = settings(REPEATABLE);
+            Recorder host = new Recorder(new Balancer.Settings(0, 3, 0, 5 * MS, Discovery.AUTOMATIC,
+                    Balancer.Weights.NOMINAL, base.classes(), List.of(), base.allowed(), base.limits(),
+                    List.of(), false, 1), 7);
+            host.logic.listChanged(host.now, ListKind.CACHED, List.of(
+                    new Balancer.Upstream(0, 0, 0, 0, State.READY, weight, host.now - MS),
+                    new Balancer.Upstream(1, 0, 0, 0, State.READY, 1, 0)));
+            host.serve(0, 100, 0, 20 * MS);
+            assertTrue(host.sentTo(1, 0) > 50, "weight " + weight);
+            assertEquals(100, host.sends.size());
+        }
+    }
+
+    // ---------------------------------------------------------------- health
+
+    @Test
+    void silentUpstreamLosesItsTurns() {
+        Recorder host = host(ONCE, REPEATABLE).withUpstreams(4);
+        host.serve(0, 40, 0, 20 * MS);
+        int before = host.sends.size();
+        for (int i = 100; i < 160; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(20 * MS);
+            if (sent.upstream() != 2) {
+                host.outcome(sent, Outcome.OK);
+            }
+        }
+        long lost = host.sentTo(2, before);
+        assertTrue(lost <= 4, "silent upstream got " + lost + " of 60");
+    }
+
+    @Test
+    void fastErrorsDoNotWinTurns() {
+        Recorder host = host(ONCE, REPEATABLE).withUpstreams(4);
+        host.serve(0, 40, 0, 20 * MS);
+        int before = host.sends.size();
+        for (int i = 100; i < 200; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(sent.upstream() == 2 ? MS : 20 * MS);
+            host.outcome(sent, sent.upstream() == 2 ? Outcome.ERROR : Outcome.OK);
+        }
+        long lost = host.sentTo(2, before);
+        assertTrue(lost <= 10, "failing upstream got " + lost + " of 100");
+    }
+
+    @Test
+    void commonSlownessDoesNotEmptyThePattern() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 200, 0, 20 * MS);
+        host.serve(1_000, 1_100, 0, 80 * MS);
+        int before = host.sends.size();
+        host.serve(2_000, 2_040, 0, 80 * MS);
+        Map<Long, Integer> turns = new HashMap<>();
+        host.sends.subList(before, before + 40).forEach(s -> turns.merge(s.upstream(), 1, Integer::sum));
+        turns.values().forEach(count -> assertEquals(10, count));
+        assertTrue(host.answers.isEmpty(), "nothing refused: " + host.answers);
+    }
+
+    @Test
+    void allUnreachableIsStillTried() {
+        Recorder host = host(REPEATABLE).withUpstreams(2);
+        for (int i = 0; i < 4; i++) {
+            host.request(i, 0);
+            host.outcome(host.last(), Outcome.CONNECT_FAILED);
+        }
+        int before = host.sends.size();
+        host.request(10, 0);
+        assertTrue(host.sends.size() > before, "with every gate shut the pattern decides alone");
+    }
+
+    @Test
+    void silenceBringsNoSecondCopy() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 80, 0, 20 * MS);
+        host.request(100, 0);
+        host.advance(300 * MS);
+        assertEquals(1, host.sendsOf(100).size(), "one attempt at a time");
+    }
+
+    /** A service of many sidecars that may tell each other. */
+    private static Recorder peered(int replicas) {
+        Balancer.Settings base = settings(ONCE);
+        return new Recorder(new Balancer.Settings(0, replicas, 0, 5 * MS, Discovery.AUTOMATIC,
+                Balancer.Weights.SILENT, base.classes(), List.of(),
+                new Balancer.Allowed(true, false, true, true, true, 3, 1_000 * MS, 250 * MS), base.limits(),
+                List.of(), false, 1), 7).withUpstreams(5);
+    }
+
+    @Test
+    void whatAPeerNotesThinsAServersTurnsAndFades() {
+        Recorder one = peered(300);
+        one.serve(0, 20, 0, 20 * MS);
+        one.request(100, 0);
+        one.advance(900 * MS);
+        assertEquals(1, one.told.size(), "an attempt out for long is told once; the budget allows no more");
+        Recorder other = peered(300);
+        for (int i = 0; i < 12; i++) {
+            other.logic.peerMessage(other.now, 3, one.told.get(0));
+        }
+        other.serve(0, 100, 0, 5 * MS);
+        long suspect = other.sentTo(one.sendsOf(100).get(0).upstream(), 0);
+        assertTrue(suspect <= 10, "noted server got " + suspect + " of 100");
+        assertTrue(other.told.isEmpty(), "hearsay is not passed on");
+        other.advance(10_000 * MS);
+        int before = other.sends.size();
+        other.serve(200, 300, 0, 5 * MS);
+        assertTrue(other.sentTo(one.sendsOf(100).get(0).upstream(), before) >= 18, "an even part again");
+    }
+
+    @Test
+    void foreignNotesDoNoHarm() {
+        Recorder host = peered(3);
+        Recorder control = peered(3);
+        for (byte[] note : new byte[][] {{}, {1, 2, 3}, new byte[256], {0, 0, 0, 0, 0, 77, 0, 1}}) {
+            host.logic.peerMessage(host.now, 2, note);
+        }
+        host.serve(0, 50, 0, 20 * MS);
+        control.serve(0, 50, 0, 20 * MS);
+        assertEquals(control.log, host.log);
+        for (int i = 0; i < 5; i++) {
+            for (int repeat = 0; repeat < 1_000; repeat++) {
+                host.logic.peerMessage(host.now, 2, new byte[] {0, 0, 0, 0, 0, (byte) i, -1, -1});
+            }
+        }
+        int before = host.sends.size();
+        host.serve(100, 150, 0, 20 * MS);
+        assertEquals(50, host.sends.size() - before, "notes of every server leave the pattern as it was");
+        assertEquals(10, host.sentTo(2, before));
+    }
+
+    @Test
+    void idleConnectionsAreKeptOnlyWhereTheyAreUsed() {
+        Recorder busy = host(REPEATABLE).withUpstreams(4);
+        busy.serve(0, 400, 0, 20 * MS);
+        int kept = busy.log.size();
+        busy.serve(400, 440, 0, 20 * MS);
+        assertTrue(busy.log.subList(kept, busy.log.size()).stream().noneMatch(l -> l.startsWith("close")));
+        Recorder quiet = host(REPEATABLE).withUpstreams(4);
+        for (int id = 0; id < 20; id++) {
+            quiet.serve(id, id + 1, 0, 20 * MS);
+            quiet.advance(2_000 * MS);
+        }
+        assertEquals(20, quiet.log.stream().filter(l -> l.startsWith("close")).count());
+    }
+
+    @Test
+    void shutOutAndReturnAreLoggedOnceEach() {
+        Recorder host = host(REPEATABLE).withUpstreams(2);
+        host.serve(0, 10, 0, 20 * MS);
+        for (int i = 100; i < 400; i++) {
+            host.request(i, 0);
+            boolean down = host.last().upstream() == 1 && i < 300;
+            host.advance(20 * MS);
+            host.outcome(host.last(), down ? Outcome.CONNECT_FAILED : Outcome.OK);
+            if (down && host.last().request() == i && host.sendsOf(i).size() > 1) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+        host.advance(5_000 * MS);
+        host.serve(500, 520, 0, 20 * MS);
+        List<String> logged = host.log.stream().filter(l -> l.startsWith("log ")).toList();
+        assertEquals(List.of("log upstream 1 shut out: no connection",
+                "log upstream 1 answers again"), logged);
+    }
+
+    @Test
+    void anEmptyOrNeverArrivingListAnswersEveryRequest() {
+        Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, ONCE, REPEATABLE), 7);
+        host.request(1, 0);
+        host.logic.listChanged(host.now, ListKind.CACHED, List.of());
+        host.request(2, 1);
+        host.logic.listChanged(host.now, ListKind.FAILED, List.of());
+        host.request(3, 0);
+        assertEquals(List.of("refuse 1", "refuse 2", "refuse 3"), host.answers);
+    }
+
+    @Test
+    void aFleetThatIsColdAsAWholeIsUsed() {
+        Recorder host = host(REPEATABLE);
+        List<Balancer.Upstream> cold = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            cold.add(upstream(i, State.READY, host.now - 100 * MS));
+        }
+        host.logic.listChanged(host.now, ListKind.CACHED, cold);
+        for (int id = 0; id < 20; id++) {
+            host.request(id, 0);
+            host.advance(100 * MS);
+            List.copyOf(host.sends).stream().filter(s -> s.at() >= host.now - 100 * MS)
+                    .forEach(s -> host.outcome(s, Outcome.OK));
+            host.advance(300 * MS);
+        }
+        assertTrue(host.sends.size() >= 10, "sent " + host.sends.size() + " of 20");
+    }
+
+    // ---------------------------------------------------------------- admission
+
+    @Test
+    void heldWorkIsSentNewestFirst() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 6, 0);
+        int out = host.sends.size();
+        assertTrue(out < 6, "some are held");
+        host.advance(10 * MS);
+        host.outcome(host.sends.get(0), Outcome.OK);
+        assertEquals(5, host.sends.get(out).request());
+    }
+
+    @Test
+    void latenessEverywhereShedsFirstTriesAndAnswersInTimeWinThemBack() {
+        Recorder host = host(ONCE).withUpstreams(10);
+        host.serve(0, 200, 0, 20 * MS);
+        for (int round = 0; round < 8; round++) {
+            host.burst(1_000 + 10 * round, 1_010 + 10 * round, 0);
+            host.advance(500 * MS);
+            List.copyOf(host.sends).stream().filter(s -> s.at() == host.now - 500 * MS)
+                    .forEach(s -> host.outcome(s, Outcome.OK));
+        }
+        int before = host.sends.size();
+        serveAdmitted(host, 2_000, 40);
+        int crowded = host.sends.size() - before;
+        assertTrue(crowded >= 1 && crowded <= 20, "sent under pressure " + crowded);
+        assertTrue(host.log.contains("log load shedding begins: answers come late everywhere"));
+        serveAdmitted(host, 3_000, 200);
+        assertTrue(host.log.contains("log load shedding ends"));
+        before = host.sends.size();
+        serveAdmitted(host, 4_000, 20);
+        assertEquals(20, host.sends.size() - before, "all admitted again");
+    }
+
+    @Test
+    void aServiceWhoseCalmAnswersTakeMostOfTheAimIsNotShedForGood() {
+        Recorder host = host(ONCE).withUpstreams(4);
+        for (int id = 0; id < 400; id++) {
+            int before = host.sends.size();
+            host.request(id, 0);
+            host.advance(400 * MS);
+            if (host.sends.size() > before) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+        assertEquals(399, host.last().request(), "the last ones are all admitted");
+        assertTrue(host.log.contains("log load shedding ends"));
+    }
+
+    /** One by one, answered in 20 ms where the module sends them. */
+    private static void serveAdmitted(Recorder host, int from, int count) {
+        for (int id = from; id < from + count; id++) {
+            int before = host.sends.size();
+            host.request(id, 0);
+            host.advance(20 * MS);
+            if (host.sends.size() > before) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+    }
+
+    @Test
+    void aFewHeavyAnswersAreNoCrowd() {
+        Recorder host = host(ONCE).withUpstreams(11);
+        host.serve(0, 220, 0, 20 * MS);
+        for (int i = 0; i < 20; i++) {
+            host.serve(1_000 + 5 * i, 1_004 + 5 * i, 0, 20 * MS);
+            host.serve(1_004 + 5 * i, 1_005 + 5 * i, 0, 190 * MS);
+        }
+        int before = host.sends.size();
+        host.burst(2_000, 2_015, 0);
+        assertEquals(15, host.sends.size() - before, "one in five takes long, the rest is calm");
+    }
+
+    @Test
+    void givenUpWorkStillFillsTheServer() {
+        Recorder host = host(REPEATABLE, ONCE).withUpstreams(1);
+        host.request(1, 1);
+        host.request(2, 1);
+        List<Recorder.Sent> out = List.copyOf(host.sends);
+        assertEquals(2, out.size());
+        host.now += 1_000 * MS;
+        out.forEach(sent -> host.outcome(sent, Outcome.TIMEOUT));
+        host.request(3, 0, 900 * MS);
+        assertEquals(2, host.sends.size(), "two ghosts fill the limit");
+    }
+
+    @Test
+    void hopelessLaterTriesAreAnsweredAtOnceUnderPressure() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 6, 0);
+        int sent = host.sends.size();
+        host.request(50, 0, 400 * MS);
+        assertEquals(List.of("refuse 50"), host.answers, "600 ms of an aim of 500 are gone");
+        assertEquals(sent, host.sends.size());
+    }
+
+    @Test
+    void firstTriesWithLessTimeThanLastOnesStayFirst() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        for (int i = 0; i < 30; i++) {
+            host.request(i, 0, i % 3 == 2 ? 900 * MS : 600 * MS);
+        }
+        int answered = host.answers.size();
+        host.request(50, 0, 600 * MS);
+        assertEquals(answered, host.answers.size(), "600 ms is what first tries have: held, not answered");
+    }
+
+    @Test
+    void lateAnswersThatKeepTheirWorthAreStillWaitedFor() {
+        Balancer.RequestClass late = new Balancer.RequestClass(100 * MS, 0, 1_000 * MS, 1, 0.9,
+                Balancer.Semantics.ONCE, Balancer.Scope.ALL, 0, false);
+        Recorder host = host(late).withUpstreams(1);
+        host.burst(0, 3, 0);
+        host.advance(300 * MS);
+        assertTrue(host.answers.isEmpty(), "held past its aim of 100 ms: " + host.answers);
+    }
+
+    @Test
+    void tenantThatHadLeastOfItsQuotaGoesFirst() {
+        Balancer.Settings base = settings(ONCE);
+        Recorder host = new Recorder(new Balancer.Settings(0, 1, 0, 5 * MS, Discovery.AUTOMATIC,
+                Balancer.Weights.SILENT, base.classes(), List.of(new Balancer.Tenant(0.5, 10),
+                new Balancer.Tenant(0.5, 10)), base.allowed(), base.limits(), List.of(), false, 0.1), 7)
+                .withUpstreams(1);
+        for (int i = 0; i < 4; i++) {
+            host.logic.request(host.now, new Balancer.Request(i, 0, 0, 0, 1_000 * MS, 0, false, false));
+        }
+        host.logic.request(host.now, new Balancer.Request(10, 0, 1, 0, 1_000 * MS, 0, false, false));
+        host.logic.request(host.now, new Balancer.Request(11, 0, 0, 0, 1_000 * MS, 0, false, false));
+        int out = host.sends.size();
+        host.advance(10 * MS);
+        host.outcome(host.sends.get(0), Outcome.OK);
+        assertEquals(10, host.sends.get(out).request(), "not the newest, but the tenant that had nothing");
+    }
+
+    @Test
+    void aServiceOfOnceAloneStillTriesASuspectAgain() {
+        Recorder host = host(ONCE).withUpstreams(2);
+        host.serve(0, 40, 0, 20 * MS);
+        for (int i = 100; i < 1_200; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(20 * MS);
+            host.outcome(sent, sent.upstream() == 1 && i < 200 ? Outcome.ERROR : Outcome.OK);
+        }
+        assertTrue(host.sends.subList(host.sends.size() - 20, host.sends.size()).stream()
+                .anyMatch(s -> s.upstream() == 1), "it came back");
+    }
+
+    // ---------------------------------------------------------------- settings and size
+
+    @Test
+    void senselessSettingsAreNamed() {
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+                () -> new Balancer.Limits(0, 0, 0, 1.5, 0, 3, 0));
+        assertTrue(e.getMessage().contains("cold share"));
+        assertThrows(IllegalArgumentException.class, () -> settings());
+    }
+
+    @Test
+    void eventsAboutNothingHeldArePassedOver() {
+        Recorder host = host(REPEATABLE).withUpstreams(2);
+        int before = host.log.size();
+        host.logic.hangup(host.now, 99);
+        host.logic.outcome(host.now, 99, 0, 1, Outcome.OK, 0, true, new float[0]);
+        host.logic.firstByte(host.now, 99, 0, 1, 0);
+        host.logic.timer(host.now, 12345);
+        host.logic.peerMessage(host.now, 1, new byte[] {1});
+        assertEquals(before, host.log.size());
+    }
+
+    @Test
+    void moduleStaysWithinItsSize() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/levergrade/SymmetricRoundRobin.java"));
+        assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 850);
+        assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/adapter/PackagedJarIT.java
@@ -0,0 +1,77 @@
+package levergrade.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** The packaged jar as a process: exit status, standard error, nothing half-written on standard output. */
+class PackagedJarIT {
+    private record Result(int status, byte[] out, String err) { }
+
+    private static Result run(byte[] input, String... args) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", "target/levergrade.jar"));
+        command.addAll(List.of(args));
+        Process process = new ProcessBuilder(command).start();
+        try (OutputStream in = process.getOutputStream()) {
+            in.write(input);
+        } catch (IOException e) {
+            // The process may have refused its arguments before reading.
+        }
+        byte[] out = process.getInputStream().readAllBytes();
+        String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        return new Result(process.waitFor(), out, err);
+    }
+
+    @Test
+    void endOfInputIsAnOrderlyEnd() throws Exception {
+        Result result = run(new byte[0], "adapter");
+        assertEquals(0, result.status);
+        assertEquals(0, result.out.length);
+    }
+
+    @Test
+    void malformedInputEndsWithAMessageAndNoOutput() throws Exception {
+        byte[] provision = new WireTest.Frame().provision(1, WireTest.OPTIONS).bytes(1);
+        Map<String, byte[]> bad = Map.of(
+                "header cut short", new byte[] {1, 2, 3},
+                "ends after", Arrays.copyOf(provision, provision.length - 3),
+                "unknown event code 99", new WireTest.Frame().record(99).end().bytes(1),
+                "setting missing: rules.rampTime",
+                new WireTest.Frame().provision(1, WireTest.OPTIONS.replace("rules.rampTime", "x")).bytes(1));
+        for (Map.Entry<String, byte[]> each : bad.entrySet()) {
+            Result result = run(each.getValue(), "adapter");
+            assertEquals(1, result.status, each.getKey());
+            assertEquals(0, result.out.length, each.getKey());
+            assertTrue(result.err.contains("frame 0: ") && result.err.contains(each.getKey()), result.err);
+            assertTrue(result.err.strip().lines().count() == 1, "one line, no stack trace: " + result.err);
+        }
+    }
+
+    @Test
+    void repliesBeforeAMalformedFrameAreComplete() throws Exception {
+        byte[] whole = new WireTest.Frame().bytes(5);
+        Result result = run(WireTest.join(whole, whole, new byte[] {9}), "adapter");
+        assertEquals(1, result.status);
+        assertArrayEquals(new byte[] {0, 0, 0, 0, 8, 0, 0, 0, 0, 0, 0, 0, 8, 0, 0, 0}, result.out);
+        assertTrue(result.err.contains("frame 2: header cut short"), result.err);
+    }
+
+    @Test
+    void wrongArgumentsShowUsage() throws Exception {
+        Result result = run(new byte[0]);
+        assertEquals(2, result.status);
+        assertTrue(result.err.startsWith("usage:"), result.err);
+    }
+}
