Serve on real sockets: the vertical slice

Cause: the module ran on the simulator's wire only. levergrade.node hosts it on Netty's NIO transport with one event loop thread: configuration, clients, upstream connections, discovery, SIGTERM. The settings go through the adapter's own parser, which becomes public; one entry point dispatches serve and adapter.

--- a/src/main/java/levergrade/adapter/Main.java
+++ b/src/main/java/levergrade/adapter/Main.java
@@ -10,22 +10,18 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 
-/** Entry point: {@code java -jar levergrade.jar adapter} plays the wire on standard input and output. */
+/** {@code java -jar levergrade.jar adapter}: plays the wire on standard input and output. */
 public final class Main {
     private static final int HEADER = 16;
 
     private Main() { }
 
     /** Runs the adapter until input ends; a malformed frame ends it with a message and exit status 1. */
-    public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar levergrade.jar adapter");
-            System.exit(2);
-        }
+    public static void main() {
         try {
             run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out));
-        } catch (WireException | IllegalArgumentException | IOException e) {
+        } catch (IllegalArgumentException | IOException e) {
             System.err.println("levergrade: " + e.getMessage());
             System.exit(1);
         }
@@ -62,7 +58,7 @@
             }
             try {
                 host.batch(now, records, new Cursor(body, size));
-            } catch (WireException | IllegalArgumentException e) {
+            } catch (IllegalArgumentException e) {
                 throw new WireException("frame " + frame + ": " + e.getMessage());
             }
             replies.writeTo(out);
--- a/src/main/java/levergrade/adapter/Options.java
+++ b/src/main/java/levergrade/adapter/Options.java
@@ -17,9 +17,9 @@
 
 /**
  * Turns the path=value lines of a provision event into {@link Settings}; keys it does not know are
- * skipped.
+ * skipped. The real sidecar flattens its configuration to the same lines, so there is one mapping.
  */
-final class Options {
+public final class Options {
     private final Map<String, String> values = new HashMap<>();
 
     private Options(String text) {
@@ -31,7 +31,8 @@
         }
     }
 
-    static Settings parse(String text) {
+    /** Reads path=value lines; what makes no sense is told by an {@link IllegalArgumentException}. */
+    public static Settings parse(String text) {
         return new Options(text).settings();
     }
 
--- a/src/main/java/levergrade/adapter/WireException.java
+++ b/src/main/java/levergrade/adapter/WireException.java
@@ -1,7 +1,7 @@
 package levergrade.adapter;
 
 /** Input that breaks the wire's format; the message says what and where. */
-final class WireException extends RuntimeException {
+final class WireException extends IllegalArgumentException {
     private static final long serialVersionUID = 1L;
 
     WireException(String message) {
--- /dev/null
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -0,0 +1,231 @@
+package levergrade.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import levergrade.node.RequestReader.BadRequest;
+
+/**
+ * One of the application's connections. Requests that come before earlier ones are answered are taken at
+ * once, for their time runs; the answers go out in the order of the requests.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+    private static final System.Logger LOG = System.getLogger("levergrade");
+    private static final String READY_PATH = "/health/ready";
+    /** Requests waiting for answers on one connection; beyond that no more are read. */
+    private static final int MAX_PIPELINED = 64;
+    /** Time for a client to read the last answer before unread input of its own would reset it. */
+    private static final long LINGER_MILLIS = 500;
+
+    private final ClientServer server;
+    private final Channel channel;
+    private final Decoder decoder;
+    private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
+    private HttpRequest head;
+    private ByteBuf body;
+    private boolean deaf;
+
+    private ClientConnection(ClientServer server, Channel channel, Decoder decoder) {
+        this.server = server;
+        this.channel = channel;
+        this.decoder = decoder;
+    }
+
+    static void install(Channel channel, ClientServer server) {
+        Decoder decoder = new Decoder();
+        channel.pipeline().addLast(decoder, new HttpResponseEncoder(),
+                new ClientConnection(server, channel, decoder));
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        server.opened(this);
+        ctx.fireChannelActive();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (deaf) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            reject(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+            return;
+        }
+        if (message instanceof HttpRequest request) {
+            head = request;
+            body = Unpooled.buffer(256);
+            if (HttpUtil.getContentLength(request, 0L) > UpstreamConnection.MAX_BODY) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                return;
+            }
+            if (HttpUtil.is100ContinueExpected(request) && exchanges.isEmpty()) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+        if (message instanceof HttpContent content && head != null) {
+            if (body.readableBytes() + content.content().readableBytes() > UpstreamConnection.MAX_BODY) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                return;
+            }
+            body.writeBytes(content.content());
+            if (message instanceof LastHttpContent) {
+                HttpRequest whole = head;
+                head = null;
+                take(whole, ByteBufUtil.getBytes(body));
+            }
+        }
+    }
+
+    private void take(HttpRequest request, byte[] content) {
+        Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request));
+        exchanges.add(exchange);
+        channel.config().setAutoRead(exchanges.size() < MAX_PIPELINED);
+        if (request.uri().equals(READY_PATH)) {
+            if (request.method().equals(HttpMethod.GET)) {
+                boolean ready = server.ready();
+                exchange.say(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        ready ? "ready" : "not ready");
+            } else {
+                exchange.say(HttpResponseStatus.METHOD_NOT_ALLOWED, "method not allowed");
+            }
+            return;
+        }
+        try {
+            ClientRequest read = server.reader().read(request, content, server.clock().now());
+            exchange.hangUp = server.sidecar().accept(read, exchange);
+        } catch (BadRequest e) {
+            exchange.say(e.status(), e.getMessage());
+        }
+    }
+
+    /** Answers what can't be read on from, after the answers still owed, and closes. */
+    private void reject(HttpResponseStatus status, String why) {
+        deaf = true;
+        head = null;
+        Exchange exchange = new Exchange(false);
+        exchanges.add(exchange);
+        exchange.say(status, why);
+    }
+
+    private void flush() {
+        while (!exchanges.isEmpty() && exchanges.peek().response != null) {
+            Exchange exchange = exchanges.poll();
+            boolean last = !exchange.keepAlive || server.draining() && exchanges.isEmpty() && head == null;
+            exchange.response.headers().set(HttpHeaderNames.CONNECTION,
+                    last ? HttpHeaderValues.CLOSE : HttpHeaderValues.KEEP_ALIVE);
+            var written = channel.writeAndFlush(exchange.response);
+            if (last) {
+                deaf = true;
+                written.addListener(done -> linger());
+                return;
+            }
+            written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+        channel.config().setAutoRead(exchanges.size() < MAX_PIPELINED);
+    }
+
+    /** Danger: closed with input unread, the connection is reset, and the answer may be lost on the way. */
+    private void linger() {
+        if (channel.isActive()) {
+            channel.config().setAutoRead(true);
+            ((SocketChannel) channel).shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The listening channel that accepted this one. */
+    Channel listener() {
+        return channel.parent();
+    }
+
+    void closeIfIdle() {
+        if (exchanges.isEmpty() && head == null && !decoder.holdsBytes() && !deaf) {
+            deaf = true;
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        deaf = true;
+        while (!exchanges.isEmpty()) {
+            exchanges.poll().hangUp.run();
+        }
+        server.closed(this);
+        ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOG.log(System.Logger.Level.ERROR, "a client's connection failed", cause);
+        }
+        channel.close();
+    }
+
+    /** One request and its answer to come. */
+    private final class Exchange implements Sidecar.Client {
+        private final boolean keepAlive;
+        private FullHttpResponse response;
+        private Runnable hangUp = () -> { };
+
+        Exchange(boolean keepAlive) {
+            this.keepAlive = keepAlive;
+        }
+
+        @Override
+        public void answer(HttpResponseStatus status, HttpHeaders headers, byte[] content) {
+            response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.wrappedBuffer(content), new DefaultHttpHeaders().set(headers),
+                    EmptyHttpHeaders.INSTANCE);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+            flush();
+        }
+
+        void say(HttpResponseStatus status, String text) {
+            answer(status, new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE,
+                    HttpHeaderValues.TEXT_PLAIN), (text + "\n").getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Reads strictly: what could be read in two ways might hide a second request. */
+    private static final class Decoder extends HttpRequestDecoder {
+        boolean holdsBytes() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both a length and chunks");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -0,0 +1,119 @@
+package levergrade.node;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** The listening side: accepts the application's connections, and ends them in order. */
+final class ClientServer {
+    /** New connections go on coming for up to 0.4 s after SIGTERM. */
+    private static final long STILL_ACCEPTS_MILLIS = 600;
+    private static final int BACKLOG = 1024;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Sidecar sidecar;
+    private final RequestReader reader;
+    private final int maxConnections;
+    private final Set<ClientConnection> connections = new HashSet<>();
+    private Channel listener;
+    private boolean warm;
+    private boolean draining;
+    private Runnable drained;
+
+    ClientServer(EventLoop loop, Clock clock, Sidecar sidecar, RequestReader reader, int maxConnections) {
+        this.loop = loop;
+        this.clock = clock;
+        this.sidecar = sidecar;
+        this.reader = reader;
+        this.maxConnections = maxConnections;
+    }
+
+    /** Listens on this address only; blocks until it does, so never to be called on the loop. */
+    InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
+        listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        ClientConnection.install(channel, ClientServer.this);
+                    }
+                }).bind(address).sync().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    void warm() {
+        warm = true;
+    }
+
+    boolean ready() {
+        return warm && !draining && sidecar.hasUsableList();
+    }
+
+    Clock clock() {
+        return clock;
+    }
+
+    Sidecar sidecar() {
+        return sidecar;
+    }
+
+    RequestReader reader() {
+        return reader;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void opened(ClientConnection connection) {
+        connections.add(connection);
+        bound(connection);
+    }
+
+    void closed(ClientConnection connection) {
+        connections.remove(connection);
+        bound(connection);
+        endWhenDrained();
+    }
+
+    /** Danger: out of descriptors, accepting fails over and over, and upstreams can't be reached either. */
+    private void bound(ClientConnection connection) {
+        connection.listener().config().setAutoRead(connections.size() < maxConnections);
+    }
+
+    /**
+     * Ends the service: idle connections are closed now, while what crosses that can still come on a new one;
+     * all answers close theirs; then nothing new is accepted, and all that is held gets its answer.
+     */
+    void drain(Runnable whenDrained) {
+        draining = true;
+        drained = whenDrained;
+        closeIdle();
+        loop.schedule(() -> listener.close().addListener(closed -> {
+            closeIdle();
+            endWhenDrained();
+        }), STILL_ACCEPTS_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeIdle() {
+        List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
+    }
+
+    private void endWhenDrained() {
+        if (draining && !listener.isOpen() && connections.isEmpty() && drained != null) {
+            drained.run();
+            drained = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/Config.java
@@ -0,0 +1,129 @@
+package levergrade.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import levergrade.Balancer.Settings;
+import levergrade.adapter.Options;
+
+/**
+ * What a sidecar is told at its start, validated.
+ *
+ * @param seed for the module's random numbers; new with each start
+ * @param sockets file descriptors that the process may hold
+ * @param known the list of upstreams as last had, in discovery's form; may be null
+ * @param classes names of the request classes, as clients send them
+ * @param tenants names of the tenants, as clients send them
+ * @param connIdle nanoseconds after which an upstream closes an idle connection
+ * @param maxOpen requests that may be open at once
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        JsonNode known, Settings settings, List<String> classes, List<String> tenants, List<String> zones,
+        List<String> kinds, long connIdle, int maxOpen) {
+    private static final int LEAST_SOCKETS = 64;
+
+    /** Reads a configuration file; what is missing or senseless is told by an exception's message. */
+    static Config read(Path file) throws IOException {
+        return parse(new ObjectMapper().readTree(Files.readAllBytes(file)));
+    }
+
+    static Config parse(JsonNode root) {
+        JsonNode settings = root.path("settings");
+        if (!settings.isObject()) {
+            throw new IllegalArgumentException("settings missing");
+        }
+        StringBuilder lines = new StringBuilder();
+        flatten("", settings, lines);
+        int sockets = root.path("limits").path("sockets").asInt(1024);
+        if (sockets < LEAST_SOCKETS) {
+            throw new IllegalArgumentException("limits.sockets makes no sense: " + sockets);
+        }
+        JsonNode caps = settings.path("caps");
+        long connIdle = caps.path("connIdle").asLong(0);
+        int maxOpen = caps.path("maxOpen").asInt(Integer.MAX_VALUE);
+        if (connIdle <= 0 || maxOpen <= 0) {
+            throw new IllegalArgumentException("caps.connIdle or caps.maxOpen makes no sense");
+        }
+        return new Config(text(root, "name"), address(text(root, "listen")),
+                address(text(root, "discovery")), seed(text(root, "seed")), sockets, root.get("known"),
+                Options.parse(lines.toString()), names(settings.path("profiles")),
+                names(settings.path("parties")), strings(settings.path("zones")),
+                strings(settings.path("kinds")), connIdle, maxOpen);
+    }
+
+    /** The address in {@code host:port}; always a literal, for there is no DNS here. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port > 0) {
+                InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
+                if (!address.isUnresolved()) {
+                    return address;
+                }
+            }
+        } catch (IllegalArgumentException e) {
+            // Told below, together with what parses but is no address.
+        }
+        throw new IllegalArgumentException("not an address: " + text);
+    }
+
+    private static long seed(String text) {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("seed is not a hexadecimal number: " + text, e);
+        }
+    }
+
+    private static String text(JsonNode root, String key) {
+        String text = root.path(key).asText("");
+        if (text.isEmpty()) {
+            throw new IllegalArgumentException(key + " missing");
+        }
+        return text;
+    }
+
+    private static List<String> names(JsonNode list) {
+        List<String> names = new ArrayList<>();
+        list.forEach(item -> names.add(item.path("name").asText()));
+        return List.copyOf(names);
+    }
+
+    private static List<String> strings(JsonNode list) {
+        List<String> strings = new ArrayList<>();
+        if (list.isTextual() && !list.asText().isEmpty()) {
+            strings.add(list.asText());
+        }
+        list.forEach(item -> strings.add(item.asText()));
+        return List.copyOf(strings);
+    }
+
+    /** The path=value lines that the simulator's first message would hold. */
+    private static void flatten(String path, JsonNode node, StringBuilder lines) {
+        if (node.isObject()) {
+            String prefix = path.isEmpty() ? "" : path + ".";
+            node.properties().forEach(each -> flatten(prefix + each.getKey(), each.getValue(), lines));
+        } else if (node.isArray() && node.path(0).isContainerNode()) {
+            lines.append(path).append(".count=").append(node.size()).append('\n');
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), lines);
+            }
+        } else if (node.isArray()) {
+            List<String> values = new ArrayList<>();
+            node.forEach(item -> values.add(plain(item)));
+            lines.append(path).append('=').append(String.join(",", values)).append('\n');
+        } else {
+            lines.append(path).append('=').append(plain(node)).append('\n');
+        }
+    }
+
+    private static String plain(JsonNode value) {
+        return value.asText().replaceAll("[\\s,]", "_");
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/Headers.java
@@ -0,0 +1,47 @@
+package levergrade.node;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.AsciiString;
+import java.util.List;
+
+/** Names of the protocol's own headers, and which headers end at a hop. */
+final class Headers {
+    static final AsciiString REQUEST_ID = AsciiString.cached("x-request-id");
+    static final AsciiString CLASS = AsciiString.cached("x-class");
+    static final AsciiString TENANT = AsciiString.cached("x-tenant");
+    static final AsciiString DEADLINE = AsciiString.cached("x-deadline");
+    static final AsciiString RETRY = AsciiString.cached("x-retry");
+    static final AsciiString COST_HINT = AsciiString.cached("x-cost-hint");
+    static final AsciiString IDEMPOTENCY_KEY = AsciiString.cached("idempotency-key");
+    static final AsciiString NOT_RUN = AsciiString.cached("x-not-run");
+    static final AsciiString LOAD = AsciiString.cached("x-load");
+
+    private static final List<AsciiString> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
+            AsciiString.cached("keep-alive"), HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION, AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_LENGTH);
+
+    private Headers() { }
+
+    /** A copy without what concerns one connection only: the framing is made anew at each hop. */
+    static HttpHeaders endToEnd(HttpHeaders headers) {
+        HttpHeaders copy = new DefaultHttpHeaders().set(headers);
+        for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String named : value.split(",")) {
+                if (!named.isBlank()) {
+                    copy.remove(named.trim());
+                }
+            }
+        }
+        HOP_BY_HOP.forEach(copy::remove);
+        return copy;
+    }
+
+    /** A duration in seconds as the protocol writes it. */
+    static String seconds(long nanos) {
+        return Double.toString(Math.max(0, nanos / 1_000_000) / 1000.0);
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/Main.java
@@ -0,0 +1,18 @@
+package levergrade.node;
+
+/** Entry point of the packaged jar: the real sidecar or the simulator's adapter. */
+public final class Main {
+    private Main() { }
+
+    /** Runs what the one argument names. */
+    public static void main(String[] args) {
+        switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> Node.main();
+            case "adapter" -> levergrade.adapter.Main.main();
+            default -> {
+                System.err.println("usage: java -jar levergrade.jar serve|adapter");
+                System.exit(2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/Node.java
@@ -0,0 +1,107 @@
+package levergrade.node;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import levergrade.Balancer.Settings;
+
+/** {@code java -jar levergrade.jar serve}: puts the parts of one real sidecar together and runs them. */
+final class Node {
+    private static final System.Logger LOG = System.getLogger("levergrade");
+    /** Parts of the descriptors for clients and for upstreams; the rest is the process's own. */
+    private static final double CLIENT_PART = 0.4;
+    private static final double UPSTREAM_PART = 0.45;
+    /** Longer than any client waits; what is still open then has no one to answer to. */
+    private static final long LONGEST_DRAIN_SECONDS = 10;
+
+    private final EventLoopGroup group;
+    private final ClientServer server;
+    private final InetSocketAddress address;
+
+    private Node(EventLoopGroup group, ClientServer server, InetSocketAddress address) {
+        this.group = group;
+        this.server = server;
+        this.address = address;
+    }
+
+    static void main() {
+        Config config;
+        try {
+            String file = System.getenv("BALANCER_CONFIG");
+            if (file == null || file.isEmpty()) {
+                throw new IllegalArgumentException("BALANCER_CONFIG is not set");
+            }
+            config = Config.read(Path.of(file));
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("levergrade: configuration: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            System.exit(2);
+            return;
+        }
+        try {
+            Node node = start(config);
+            Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt, "drain"));
+            LOG.log(System.Logger.Level.INFO, config.name() + " serves at " + config.listen());
+        } catch (ExecutionException | InterruptedException | RuntimeException e) {
+            System.err.println("levergrade: can't start: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    static Node start(Config config) throws InterruptedException, ExecutionException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        Settings settings = config.settings();
+        Clock clock = new Clock();
+        UpstreamPool pool = new UpstreamPool(loop, settings.allowed().connectTimeout(), config.connIdle(),
+                (int) (config.sockets() * UPSTREAM_PART));
+        Sidecar sidecar = new Sidecar(loop, clock, config, pool);
+        Targets targets = new Targets(config.zones(), config.kinds());
+        Discovery discovery = new Discovery(loop, config.discovery(), targets, sidecar,
+                settings.limits().askWithin());
+        ClientServer server = new ClientServer(loop, clock, sidecar, new RequestReader(config),
+                (int) (config.sockets() * CLIENT_PART));
+        loop.submit(() -> {
+            Targets.Update known = config.known() == null || config.known().isNull()
+                    ? new Targets.Update(0, null, List.of(), Map.of()) : targets.read(config.known());
+            discovery.knows(known.revision());
+            sidecar.start(discovery, known.entries(), known.endpoints());
+            server.warm();
+        }).get();
+        return new Node(group, server, server.listen(config.listen()));
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Ends the service in order: see {@link ClientServer#drain}. */
+    void drain(Runnable drained) {
+        group.execute(() -> server.drain(drained));
+    }
+
+    void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** On SIGTERM: an orderly end is no failure, so the status is 0 and not the signal's. */
+    private void drainAndHalt() {
+        LOG.log(System.Logger.Level.INFO, "draining");
+        CountDownLatch drained = new CountDownLatch(1);
+        drain(drained::countDown);
+        try {
+            drained.await(LONGEST_DRAIN_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/RequestReader.java
@@ -0,0 +1,109 @@
+package levergrade.node;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.cookie.Cookie;
+import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+import levergrade.Balancer.RequestClass;
+import levergrade.Balancer.Semantics;
+
+/** Turns what a client sent into a {@link ClientRequest}, or says what is wrong with it. */
+final class RequestReader {
+    /** What a client sent makes no sense; answered at once, with nothing sent to an upstream. */
+    static final class BadRequest extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final transient HttpResponseStatus status;
+
+        BadRequest(HttpResponseStatus status, String message) {
+            super(message, null, false, false);
+            this.status = status;
+        }
+
+        HttpResponseStatus status() {
+            return status;
+        }
+    }
+
+    private static final String PATH = "/api";
+    /** No client waits longer; a larger deadline is senseless. */
+    private static final double LONGEST_SECONDS = 86_400;
+
+    private final Config config;
+
+    RequestReader(Config config) {
+        this.config = config;
+    }
+
+    ClientRequest read(HttpRequest head, byte[] body, long arrived) throws BadRequest {
+        String uri = head.uri();
+        String path = uri.indexOf('?') < 0 ? uri : uri.substring(0, uri.indexOf('?'));
+        if (!path.equals(PATH) && !path.startsWith(PATH + "/")) {
+            throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no such path");
+        }
+        if (!head.method().equals(HttpMethod.GET) && !head.method().equals(HttpMethod.POST)) {
+            throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "method not allowed");
+        }
+        HttpHeaders headers = Headers.endToEnd(head.headers());
+        if (headers.get(Headers.REQUEST_ID, "").isBlank()) {
+            throw bad("X-Request-Id missing");
+        }
+        int requestClass = config.classes().indexOf(headers.get(Headers.CLASS, ""));
+        if (requestClass < 0) {
+            throw bad("X-Class missing or unknown");
+        }
+        RequestClass kind = config.settings().classes().get(requestClass);
+        HttpMethod method = kind.semantics() == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
+        if (!head.method().equals(method)) {
+            throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "the class wants " + method);
+        }
+        if (kind.semantics() == Semantics.BY_KEY && headers.get(Headers.IDEMPOTENCY_KEY, "").isBlank()) {
+            throw bad("Idempotency-Key missing");
+        }
+        double seconds = number(headers.get(Headers.DEADLINE));
+        if (!(seconds > 0 && seconds <= LONGEST_SECONDS)) {
+            throw bad("X-Deadline missing or senseless");
+        }
+        double hint = number(headers.get(Headers.COST_HINT));
+        return new ClientRequest(arrived, (long) (seconds * TimeUnit.SECONDS.toNanos(1)), requestClass,
+                Math.max(0, config.tenants().indexOf(headers.get(Headers.TENANT, ""))),
+                key(headers.get(HttpHeaderNames.COOKIE)),
+                hint > 0 ? (long) (hint * TimeUnit.MICROSECONDS.toNanos(1)) : 0,
+                "1".equals(headers.get(Headers.RETRY)), head.method(), uri, headers, body);
+    }
+
+    private static BadRequest bad(String message) {
+        return new BadRequest(HttpResponseStatus.BAD_REQUEST, message);
+    }
+
+    private static double number(String text) {
+        try {
+            return text == null ? Double.NaN : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    /** What the request is about, as a number; 0 for nothing. */
+    private static long key(String cookies) {
+        if (cookies == null) {
+            return 0;
+        }
+        for (Cookie cookie : ServerCookieDecoder.LAX.decode(cookies)) {
+            if (cookie.name().equals("user")) {
+                try {
+                    return Long.parseUnsignedLong(cookie.value(), 16);
+                } catch (NumberFormatException e) {
+                    return UUID.nameUUIDFromBytes(cookie.value().getBytes(StandardCharsets.UTF_8))
+                            .getMostSignificantBits();
+                }
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/Targets.java
@@ -0,0 +1,93 @@
+package levergrade.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import levergrade.Balancer.ListKind;
+import levergrade.Balancer.State;
+import levergrade.Balancer.Upstream;
+
+/** Reads discovery's lists and gives each upstream the number by which the module knows it. */
+final class Targets {
+    /** A list as the module takes it, and where its upstreams listen. */
+    record Update(long revision, ListKind kind, List<Upstream> entries,
+            Map<Long, InetSocketAddress> endpoints) { }
+
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Map<String, Long> ids = new HashMap<>();
+    private long lastId;
+
+    Targets(List<String> zones, List<String> kinds) {
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    /** A list in discovery's form; one that can't be read as a whole changes nothing and throws. */
+    Update read(JsonNode list) {
+        JsonNode revision = list.path("rev");
+        JsonNode all = list.path("all");
+        JsonNode targets = list.path("targets");
+        if (!revision.isIntegralNumber() || !all.isBoolean() || !targets.isArray()) {
+            throw new IllegalArgumentException("not a list: rev, all or targets missing");
+        }
+        List<Entry> read = new ArrayList<>();
+        targets.forEach(target -> read.add(entry(target)));
+        if (all.asBoolean()) {
+            // Who is missing from a whole list is gone, and its number with it: the module reads it so too.
+            Set<String> listed = new HashSet<>();
+            read.forEach(entry -> listed.add(entry.uid));
+            ids.keySet().retainAll(listed);
+        }
+        List<Upstream> entries = new ArrayList<>();
+        Map<Long, InetSocketAddress> endpoints = new HashMap<>();
+        for (Entry entry : read) {
+            long id = ids.computeIfAbsent(entry.uid, uid -> ++lastId);
+            entries.add(new Upstream(id, entry.zone, entry.kind, entry.cell, entry.state, entry.weight,
+                    entry.startedAt));
+            endpoints.put(id, entry.endpoint);
+            if (entry.state == State.GONE) {
+                ids.remove(entry.uid);
+            }
+        }
+        return new Update(revision.asLong(), all.asBoolean() ? ListKind.FULL : ListKind.DELTA, entries,
+                endpoints);
+    }
+
+    private record Entry(String uid, InetSocketAddress endpoint, int zone, int kind, int cell, State state,
+            float weight, long startedAt) { }
+
+    private Entry entry(JsonNode target) {
+        String uid = target.path("uid").asText("");
+        if (uid.isEmpty()) {
+            throw new IllegalArgumentException("target without uid");
+        }
+        State state = switch (target.path("state").asText()) {
+            case "Ready" -> State.READY;
+            case "Terminating" -> State.DRAINING;
+            case "Gone" -> State.GONE;
+            default -> throw new IllegalArgumentException("unknown state of " + uid);
+        };
+        long boot = target.path("boot_ms").asLong(0);
+        if (boot < 0) {
+            throw new IllegalArgumentException("senseless boot_ms of " + uid);
+        }
+        return new Entry(uid, Config.address(target.path("endpoint").asText()),
+                position(zones, target.path("az"), uid), position(kinds, target.path("model"), uid),
+                target.path("pod_group").asInt(0), state, (float) target.path("capacity_hint").asDouble(1),
+                Clock.ofUnixMillis(boot));
+    }
+
+    private static int position(List<String> names, JsonNode name, String uid) {
+        int at = names.indexOf(name.asText());
+        if (at < 0 && !names.isEmpty()) {
+            throw new IllegalArgumentException("unknown zone or kind " + name.asText() + " of " + uid);
+        }
+        return Math.max(0, at);
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/UpstreamConnection.java
@@ -0,0 +1,208 @@
+package levergrade.node;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.util.Arrays;
+import java.util.List;
+import levergrade.Balancer.Outcome;
+import levergrade.node.UpstreamPool.Result;
+
+/** One connection to an upstream and the answer being read on it. */
+final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
+    /** The protocol's limit of a body. */
+    static final int MAX_BODY = 64 * 1024;
+
+    private final UpstreamPool pool;
+    private final Decoder decoder;
+    private final Channel channel;
+    private InetSocketAddress address;
+    private UpstreamExchange exchange;
+    private HttpResponse head;
+    private ByteBuf body;
+    private Result result;
+    private long idleSince;
+
+    private UpstreamConnection(UpstreamPool pool, Channel channel, Decoder decoder) {
+        this.pool = pool;
+        this.channel = channel;
+        this.decoder = decoder;
+    }
+
+    static void install(Channel channel, UpstreamPool pool) {
+        Decoder decoder = new Decoder();
+        channel.pipeline().addLast(decoder, new HttpRequestEncoder(),
+                new UpstreamConnection(pool, channel, decoder));
+    }
+
+    UpstreamConnection open(InetSocketAddress to) {
+        address = to;
+        return this;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    long idleSince() {
+        return idleSince;
+    }
+
+    boolean usable() {
+        return channel.isActive() && !decoder.holdsBytes();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    void carry(UpstreamExchange next) {
+        exchange = next;
+        head = null;
+        body = null;
+        result = null;
+        channel.writeAndFlush(next.begin(channel)).addListener(done -> {
+            if (done.isSuccess()) {
+                next.lastByteWritten();
+            } else {
+                channel.close();
+            }
+        });
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (exchange == null || result != null || message.decoderResult().isFailure()) {
+            // Danger: bytes that belong to no request would be taken for the next one's answer.
+            channel.close();
+            return;
+        }
+        if (message instanceof HttpResponse response) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                return;
+            }
+            if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+                // An answer that only the connection's end delimits can't be known to be whole.
+                channel.close();
+                return;
+            }
+            head = response;
+            body = Unpooled.buffer(256);
+        }
+        if (message instanceof HttpContent content && head != null) {
+            if (body.readableBytes() + content.content().readableBytes() > MAX_BODY) {
+                channel.close();
+                return;
+            }
+            body.writeBytes(content.content());
+            if (message instanceof LastHttpContent) {
+                result = new Result(outcome(head), head.headers(), ByteBufUtil.getBytes(body));
+            }
+        }
+    }
+
+    /**
+     * The answer is told, and the connection offered again, only when all that came with it has been read:
+     * noise behind an answer must not meet the next request.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (result != null && exchange != null) {
+            UpstreamExchange done = exchange;
+            Result told = result;
+            boolean reusable = HttpUtil.isKeepAlive(head) && usable() && done.written();
+            exchange = null;
+            head = null;
+            body = null;
+            if (reusable) {
+                idleSince = System.nanoTime();
+                pool.release(this);
+            } else {
+                channel.close();
+            }
+            done.end(told);
+        }
+        ctx.fireChannelReadComplete();
+    }
+
+    /** What an answer proves: only the upstream's own word that it did not run counts as that. */
+    private static Outcome outcome(HttpResponse head) {
+        int status = head.status().code();
+        if (status == 200) {
+            return Outcome.OK;
+        }
+        boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get(Headers.NOT_RUN));
+        return notRun ? Outcome.REJECTED : Outcome.ERROR;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            UpstreamExchange broken = exchange;
+            exchange = null;
+            Outcome outcome = broken.written() ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            broken.end(result != null ? result : Result.of(outcome));
+        }
+        pool.closed(this);
+        ctx.fireChannelInactive();
+    }
+
+    /** The connection is of no further use; what it carried ends in {@link #channelInactive}. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        channel.close();
+    }
+
+    /** Reads answers strictly and tells whether bytes of a further one are waiting. */
+    private static final class Decoder extends HttpResponseDecoder {
+        boolean holdsBytes() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both a length and chunks");
+        }
+    }
+
+    /** The load report of an answer, in the order of the settings; empty if absent or malformed. */
+    static float[] load(HttpHeaders headers, List<String> fields) {
+        String text = headers == null ? null : headers.get(Headers.LOAD);
+        if (text == null || fields.isEmpty()) {
+            return new float[0];
+        }
+        float[] values = new float[fields.size()];
+        Arrays.fill(values, Float.NaN);
+        for (String pair : text.split(",")) {
+            int equals = pair.indexOf('=');
+            int at = equals < 0 ? -1 : fields.indexOf(pair.substring(0, equals).trim());
+            if (at >= 0) {
+                try {
+                    values[at] = Float.parseFloat(pair.substring(equals + 1).trim());
+                } catch (NumberFormatException e) {
+                    return new float[0];
+                }
+            }
+        }
+        for (float value : values) {
+            if (!Float.isFinite(value) || value < 0) {
+                return new float[0];
+            }
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/src/main/java/levergrade/node/UpstreamPool.java
@@ -0,0 +1,156 @@
+package levergrade.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import levergrade.Balancer.Outcome;
+
+/**
+ * Keep-alive connections to the upstreams, one request at a time on each. What happened to a request is told
+ * as an {@link Outcome} that the socket proves; nothing is ever sent a second time here.
+ */
+final class UpstreamPool {
+    /** What came back; headers and body only with {@link Outcome#OK}, headers with any answer. */
+    record Result(Outcome outcome, HttpHeaders headers, byte[] body) {
+        static Result of(Outcome outcome) {
+            return new Result(outcome, null, null);
+        }
+    }
+
+    /** Told once, and never inside a call to the pool, how an exchange ended that was not abandoned. */
+    interface Listener {
+        void ended(Result result);
+    }
+
+    /**
+     * Danger: a request written to a connection that the upstream is just closing ends as a reset that may
+     * have run. Idle ones are closed after this part of the time that upstreams grant.
+     */
+    private static final double IDLE_PART = 0.6;
+
+    private final EventLoop loop;
+    private final Bootstrap bootstrap;
+    private final long maxIdle;
+    private final int maxConnections;
+    private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private int connections;
+
+    UpstreamPool(EventLoop loop, long connectTimeout, long connIdle, int maxConnections) {
+        this.loop = loop;
+        this.maxIdle = (long) (connIdle * IDLE_PART);
+        this.maxConnections = maxConnections;
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(connectTimeout)))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        UpstreamConnection.install(channel, UpstreamPool.this);
+                    }
+                });
+        long sweep = Math.max(1, maxIdle / 8);
+        loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.NANOSECONDS);
+    }
+
+    /** Sends a request; it is made when a connection is there, so that it can tell the time that is left. */
+    UpstreamExchange start(InetSocketAddress address, Supplier<FullHttpRequest> request, Listener listener) {
+        UpstreamExchange exchange = new UpstreamExchange(request, listener);
+        UpstreamConnection pooled = takeIdle(address);
+        if (pooled != null) {
+            pooled.carry(exchange);
+        } else if (connections >= maxConnections && !evictIdle()) {
+            loop.execute(() -> exchange.end(Result.of(Outcome.NEVER_SENT)));
+        } else {
+            connect(address, exchange);
+        }
+        return exchange;
+    }
+
+    private void connect(InetSocketAddress address, UpstreamExchange exchange) {
+        connections++;
+        var connecting = bootstrap.connect(address);
+        Channel channel = connecting.channel();
+        exchange.connecting(channel);
+        channel.closeFuture().addListener(closed -> connections--);
+        connecting.addListener(done -> {
+            if (!done.isSuccess()) {
+                exchange.end(Result.of(Outcome.CONNECT_FAILED));
+            } else if (exchange.over()) {
+                channel.close();
+            } else {
+                channel.pipeline().get(UpstreamConnection.class).open(address).carry(exchange);
+            }
+        });
+    }
+
+    /** The most recently used one: the others grow old and leave the upstream's table. */
+    private UpstreamConnection takeIdle(InetSocketAddress address) {
+        ArrayDeque<UpstreamConnection> all = idle.get(address);
+        while (all != null && !all.isEmpty()) {
+            UpstreamConnection connection = all.pop();
+            if (connection.usable() && System.nanoTime() - connection.idleSince() < maxIdle) {
+                return connection;
+            }
+            connection.close();
+        }
+        return null;
+    }
+
+    void release(UpstreamConnection connection) {
+        idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>()).push(connection);
+    }
+
+    void closed(UpstreamConnection connection) {
+        ArrayDeque<UpstreamConnection> all = idle.get(connection.address());
+        if (all != null && all.remove(connection) && all.isEmpty()) {
+            idle.remove(connection.address());
+        }
+    }
+
+    /** Closes the idle connections to one upstream. */
+    void closeIdle(InetSocketAddress address) {
+        ArrayDeque<UpstreamConnection> all = idle.remove(address);
+        if (all != null) {
+            all.forEach(UpstreamConnection::close);
+        }
+    }
+
+    private void closeStale() {
+        long now = System.nanoTime();
+        idle.values().removeIf(all -> {
+            while (!all.isEmpty() && now - all.peekLast().idleSince() >= maxIdle) {
+                all.pollLast().close();
+            }
+            return all.isEmpty();
+        });
+    }
+
+    /** Makes room under the socket limit; false if every connection is in use. */
+    private boolean evictIdle() {
+        UpstreamConnection oldest = null;
+        for (ArrayDeque<UpstreamConnection> all : idle.values()) {
+            UpstreamConnection last = all.peekLast();
+            if (last != null && (oldest == null || last.idleSince() - oldest.idleSince() < 0)) {
+                oldest = last;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        closed(oldest);
+        oldest.close();
+        return true;
+    }
+}
