Test the real sidecar over loopback sockets

Cause: the slice had no tests of its own. Each outcome, keyed and unsafe repeats, deadline, hang-up, stale and noisy connections, discovery failures, drains, bad input, pipelining and SIGTERM now have one; all ports ephemeral.

Seen: a reuse test through the module opened a connection a request. Checked: the module orders closeIdle for upstreams it uses less than 5% of the time (Roster.trickles); the pool reuses (UpstreamPoolTest), so it stays as it is.

--- /dev/null
+++ b/src/test/java/levergrade/node/ClientServerTest.java
@@ -0,0 +1,161 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import levergrade.node.StubUpstream.Script;
+
+/** The listening side: readiness, bad input, pipelining, the end of the service. */
+@Timeout(60)
+class ClientServerTest {
+    private static final Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+    private static final String READY = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    @Test
+    void readyOnlyWithAListToUse() throws Exception {
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode();
+                TestClient client = host.client()) {
+            assertEquals(503, TestClient.status(client.ask(READY)));
+            host.tell(LoopbackNode.list(2, true, LoopbackNode.targets(upstream)));
+            while (TestClient.status(client.ask(READY)) != 200) {
+                Thread.onSpinWait();
+            }
+            assertEquals(200, TestClient.status(client.ask(TestClient.request("pay", "2.0"))));
+        }
+    }
+
+    @Test
+    void badInputIsAnsweredAtOnceAndGoesNowhere() throws Exception {
+        String good = TestClient.request("write", "2.0");
+        Map<String, Integer> keeps = new LinkedHashMap<>();
+        keeps.put(good.replaceAll("X-Request-Id: [^\r]*\r\n", ""), 400);
+        keeps.put(good.replace("X-Class: write", "X-Class: nosuch"), 400);
+        keeps.put(good.replaceAll("X-Class: [^\r]*\r\n", ""), 400);
+        keeps.put(good.replaceAll("X-Deadline: [^\r]*\r\n", ""), 400);
+        for (String deadline : new String[] {"soon", "NaN", "-1", "0", "Infinity", "1e300"}) {
+            keeps.put(good.replace("X-Deadline: 2.0", "X-Deadline: " + deadline), 400);
+        }
+        keeps.put(good.replaceAll("Idempotency-Key: [^\r]*\r\n", ""), 400);
+        keeps.put(good.replace("/api", "/other"), 404);
+        keeps.put(good.replace("POST", "PUT"), 405);
+        keeps.put(good.replace("POST", "GET"), 405);
+        keeps.put(READY.replace("GET", "DELETE"), 405);
+        Map<String, Integer> ends = new LinkedHashMap<>();
+        ends.put("what is this\r\n\r\n", 400);
+        ends.put(good.replace("Content-Length: 4", "Content-Length: -4"), 400);
+        ends.put(good.replace("Content-Length: 4", "Content-Length: 4\r\nContent-Length: 5"), 400);
+        ends.put(good.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"), 400);
+        ends.put(good.replace("Content-Length: 4", "Content-Length: 65537"), 413);
+        ends.put(good.replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n11000\r\n"
+                + "x".repeat(0x11000)), 413);
+        ends.put("GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n", 400);
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream)) {
+            try (TestClient client = host.client()) {
+                for (Map.Entry<String, Integer> each : keeps.entrySet()) {
+                    String answer = client.ask(each.getKey());
+                    assertEquals(each.getValue(), TestClient.status(answer), each.getKey());
+                }
+                assertEquals(0, upstream.requests.size());
+                assertEquals(200, TestClient.status(client.ask(good)), "the connection is still of use");
+            }
+            for (Map.Entry<String, Integer> each : ends.entrySet()) {
+                try (TestClient client = host.client()) {
+                    String answer = client.ask(each.getKey());
+                    assertEquals(each.getValue(), TestClient.status(answer), each.getKey());
+                    assertEquals("close", StubUpstream.header(answer, "connection"));
+                    assertNull(client.read(), "and closed");
+                }
+            }
+            assertEquals(1, upstream.requests.size());
+        }
+    }
+
+    @Test
+    void aBodyOfTheGreatestSizeIsTaken() throws Exception {
+        String big = "x".repeat(64 * 1024);
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.says(StubUpstream.answer("200 OK", big)));
+                LoopbackNode host = new LoopbackNode(upstream)) {
+            String answer = host.ask(TestClient.request("pay", "2.0")
+                    .replace("Content-Length: 4\r\n\r\nbody", "Content-Length: 65536\r\n\r\n" + big));
+            assertEquals(big, TestClient.body(answer));
+            assertEquals(big, TestClient.body(upstream.nextRequest()));
+        }
+    }
+
+    /** Guards against answers swapped on a connection whose requests are answered in another order. */
+    @Test
+    void pipelinedRequestsAreTakenAtOnceAndAnsweredInOrder() throws Exception {
+        CountDownLatch secondCame = new CountDownLatch(1);
+        Script script = (socket, request) -> {
+            String name = StubUpstream.header(request, "x-name");
+            if (name.equals("first")) {
+                secondCame.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+            } else {
+                secondCame.countDown();
+            }
+            StubUpstream.write(socket, StubUpstream.answer("200 OK", name));
+            return true;
+        };
+        try (StubUpstream upstream = new StubUpstream(script); LoopbackNode host = new LoopbackNode(upstream);
+                TestClient client = host.client()) {
+            client.send(TestClient.request("read", "3.0", "X-Name: first")
+                    + TestClient.request("read", "3.0", "X-Name: second") + READY);
+            assertEquals("first", TestClient.body(client.read()));
+            assertEquals("second", TestClient.body(client.read()));
+            assertEquals("ready\n", TestClient.body(client.read()));
+        }
+    }
+
+    @Test
+    void aRefusalTellsWhenToComeBackWhereThatIsAllowed() throws Exception {
+        String gone = LoopbackNode.target("u0", "127.0.0.1:9", "Terminating");
+        try (LoopbackNode host = new LoopbackNode(LoopbackNode.Figures.USUAL, gone)) {
+            String answer = host.ask(TestClient.request("pay", "2.0"));
+            assertEquals(503, TestClient.status(answer));
+            assertEquals("0.5", StubUpstream.header(answer, "retry-after"));
+        }
+    }
+
+    /** Guards against requests lost at a planned restart: what is held and what still comes is answered. */
+    @Test
+    void theEndOfTheServiceLosesNothing() throws Exception {
+        CountDownLatch drained = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        Script held = (socket, request) -> {
+            release.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+            StubUpstream.write(socket, StubUpstream.answer("200 OK", "fine"));
+            return true;
+        };
+        try (StubUpstream upstream = new StubUpstream(held); LoopbackNode host = new LoopbackNode(upstream);
+                TestClient idle = host.client(); TestClient busy = host.client()) {
+            assertEquals(200, TestClient.status(idle.ask(READY)));
+            busy.send(TestClient.request("pay", "3.0"));
+            upstream.nextRequest();
+            host.node.drain(drained::countDown);
+            assertNull(idle.read(), "idle connections are closed");
+            try (TestClient late = host.client()) {
+                late.send(TestClient.request("pay", "3.0"));
+                upstream.nextRequest();
+                release.countDown();
+                for (TestClient each : new TestClient[] {busy, late}) {
+                    String answer = each.read();
+                    assertEquals(200, TestClient.status(answer));
+                    assertEquals("close", StubUpstream.header(answer, "connection"));
+                    assertNull(each.read());
+                    each.socket.close();
+                }
+            }
+            assertTrue(drained.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertThrows(IOException.class, host::client, "nothing new is accepted");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/ConfigTest.java
@@ -0,0 +1,69 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import levergrade.Balancer.Discovery;
+import levergrade.Balancer.Semantics;
+
+/** The configuration and the small texts that the protocol has values in. */
+class ConfigTest {
+    private static final String GOOD = LoopbackNode.json(LoopbackNode.Figures.USUAL, "127.0.0.1:8500");
+
+    private static Config parse(String json) throws Exception {
+        return Config.parse(new ObjectMapper().readTree(json));
+    }
+
+    @Test
+    void nestedSettingsAreThoseOfTheWire() throws Exception {
+        Config config = parse(GOOD.replace("\"acme\"", "\"acme, and sons\""));
+        assertEquals(List.of("read", "write", "hold", "pay"), config.classes());
+        assertEquals(List.of("acme, and sons"), config.tenants());
+        assertEquals(List.of("a", "b"), config.zones());
+        assertEquals(Semantics.ONCE, config.settings().classes().get(3).semantics());
+        assertEquals(List.of("rate", "q"), config.settings().reportFields());
+        assertEquals(Discovery.SUBSCRIBE, config.settings().discovery());
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+    }
+
+    @Test
+    void whatMakesNoSenseIsNamed() {
+        Map<String, String> spoilt = Map.of(
+                "\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"zz\"",
+                "\"listen\":\"127.0.0.1:1\"", "\"listen\":\"127.0.0.1\"",
+                "\"discovery\":\"127.0.0.1:8500\"", "\"discovery\":\"127.0.0.1:99999\"",
+                "\"name\":\"n0\"", "\"name\":\"\"",
+                "\"sockets\":1024", "\"sockets\":3",
+                "\"connIdle\":10000000000", "\"connIdle\":0",
+                "\"coldShare\":0.4", "\"coldShare\":7",
+                "\"semantics\":\"once\"", "\"semantics\":\"twice\"");
+        spoilt.forEach((from, to) -> {
+            assertTrue(GOOD.contains(from), from);
+            String json = GOOD.replace(from, to);
+            Exception e = assertThrows(IllegalArgumentException.class, () -> parse(json), to);
+            assertEquals(1, e.getMessage().lines().count(), "one plain line");
+        });
+    }
+
+    @Test
+    void malformedLoadReportsAreIgnored() {
+        List<String> fields = List.of("rate", "q");
+        assertArrayEquals(new float[] {3, 2}, load("q=2,other=9, rate=3.0", fields));
+        for (String malformed : List.of("", "q=2", "q=2,rate=x", "q=2,rate=NaN", "q=-1,rate=1", "=,=", "q")) {
+            assertEquals(0, load(malformed, fields).length, malformed);
+        }
+    }
+
+    private static float[] load(String text, List<String> fields) {
+        HttpHeaders headers = new DefaultHttpHeaders().set(Headers.LOAD, text);
+        return UpstreamConnection.load(headers, fields);
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/DiscoveryTest.java
@@ -0,0 +1,101 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import levergrade.node.LoopbackNode.Figures;
+
+/** The list and what becomes of it, over loopback sockets. */
+@Timeout(60)
+class DiscoveryTest {
+    private static final StubUpstream.Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+
+    private static void assertServed(LoopbackNode host, StubUpstream by, StubUpstream notBy)
+            throws Exception {
+        int before = notBy.requests.size();
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, TestClient.status(host.ask(TestClient.request("pay", "2.0"))));
+        }
+        assertTrue(by.requests.size() >= 6);
+        assertEquals(before, notBy.requests.size());
+    }
+
+    private static String watchSince(LoopbackNode host, long revision) throws Exception {
+        String call = host.discovery.nextRequest();
+        assertTrue(call.startsWith("GET /registry/instances?since=" + revision + "&timeout_ms="), call);
+        return call;
+    }
+
+    @Test
+    void changesBuildOnTheCachedListAndADrainingUpstreamGetsNothingNew() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(one, two)) {
+            watchSince(host, 1);
+            host.tell(LoopbackNode.list(2, false, LoopbackNode.target("u0", one.address(), "Terminating")));
+            watchSince(host, 2);
+            assertServed(host, two, one);
+            host.tell(LoopbackNode.list(3, false, LoopbackNode.target("u0", one.address(), "Gone")));
+            watchSince(host, 3);
+            assertServed(host, two, one);
+        }
+    }
+
+    @Test
+    void whoIsMissingFromAWholeListIsGone() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(one, two)) {
+            watchSince(host, 1);
+            host.tell(LoopbackNode.list(7, true, LoopbackNode.target("u1", two.address(), "Ready")));
+            watchSince(host, 7);
+            assertServed(host, two, one);
+        }
+    }
+
+    @Test
+    void anUpstreamMayMoveToAnotherAddress() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(one)) {
+            assertEquals(200, TestClient.status(host.ask(TestClient.request("pay", "2.0"))));
+            watchSince(host, 1);
+            host.tell(LoopbackNode.list(2, false, LoopbackNode.target("u0", two.address(), "Ready")));
+            watchSince(host, 2);
+            assertServed(host, two, one);
+        }
+    }
+
+    /** Guards against a list lost with the call that failed: the last one stays in force. */
+    @Test
+    void afterAFailureTheListStaysAndDiscoveryIsAskedAgain() throws Exception {
+        String[] failures = {"", StubUpstream.answer("503 Service Unavailable", ""),
+            StubUpstream.answer("200 OK", "{\"rev\":"), StubUpstream.answer("200 OK", "{\"rev\":9}"),
+            StubUpstream.answer("200 OK", LoopbackNode.list(9, true,
+                    LoopbackNode.target("u0", "nowhere", "Ready"))),
+            StubUpstream.answer("200 OK", LoopbackNode.list(9, true,
+                    LoopbackNode.target("u0", "127.0.0.1:9", "Sleeping"))),
+            "noise\r\n\r\n"};
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(one)) {
+            for (String failure : failures) {
+                watchSince(host, 1);
+                host.news.add(failure);
+            }
+            watchSince(host, 1);
+            assertServed(host, one, two);
+        }
+    }
+
+    /** Guards against a watch on a machine that vanished, which would be waited for without end. */
+    @Test
+    void aSilentWatchIsGivenUp() throws Exception {
+        Figures shortWatch = new Figures(TimeUnit.SECONDS.toNanos(10), 1000,
+                TimeUnit.MILLISECONDS.toNanos(50));
+        try (StubUpstream one = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(shortWatch, LoopbackNode.targets(one))) {
+            watchSince(host, 1);
+            watchSince(host, 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/LoopbackNode.java
@@ -0,0 +1,114 @@
+package levergrade.node;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** One real sidecar in this process, with scripted upstreams and discovery, all on ephemeral ports. */
+final class LoopbackNode implements AutoCloseable {
+    /** The bound of every wait; nothing comes near it unless it hangs. */
+    static final int PATIENCE_SECONDS = 20;
+
+    static final String SETTINGS = """
+            {"profiles":[
+              {"name":"read","slo":1000000000,"deadline":3000000000,"semantics":"repeatable","worth":1.0},
+              {"name":"write","slo":1000000000,"deadline":3000000000,"semantics":"by_key","keyScope":"all",
+               "keyTtl":5000000000},
+              {"name":"hold","slo":1000000000,"deadline":3000000000,"semantics":"by_key","keyScope":"zone",
+               "keyTtl":5000000000},
+              {"name":"pay","slo":1000000000,"deadline":3000000000,"semantics":"once"}],
+             "parties":[{"name":"acme","portion":1.0,"quotaRps":1000.0}],
+             "zones":["a","b"],"kinds":["m1"],"rank":0,"replicasOfMe":1,"zone":0,"quantum":5000000,
+             "discovery":"subscribe","report":{"how":"piggyback","fields":["rate","q"]},
+             "caps":{"mayCancel":true,"tryLimit":6,"connIdle":%d,"connectTimeout":500000000,"maxOpen":%d,
+               "maxRetryAfter":750000000,"retryAfter":true},
+             "rules":{"answerSlack":20000000,"askWithin":%d,"stopSendingWithin":2000000000,"coldShare":0.4,
+               "rampTime":7000000000,"overloadFactor":4.0,"tipAfter":1500000000}}
+            """;
+
+    final Node node;
+    /** Answers that discovery gives to its calls in turn; once there are none, a call waits. */
+    final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    final StubUpstream discovery = new StubUpstream((socket, request) -> {
+        String text = news.take();
+        if (text.isEmpty()) {
+            return StubUpstream.reset(socket);
+        }
+        StubUpstream.write(socket, text);
+        return true;
+    });
+
+    /** Figures of the settings that tests vary. */
+    record Figures(long connIdle, int maxOpen, long askWithin) {
+        static final Figures USUAL = new Figures(TimeUnit.SECONDS.toNanos(10), 1000,
+                TimeUnit.SECONDS.toNanos(1));
+    }
+
+    LoopbackNode(StubUpstream... upstreams) throws Exception {
+        this(Figures.USUAL, targets(upstreams));
+    }
+
+    LoopbackNode(Figures figures, String... targets) throws Exception {
+        String json = json(figures, discovery.address(), targets);
+        Config config = Config.parse(new ObjectMapper().readTree(json));
+        InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        node = Node.start(new Config(config.name(), anyPort, config.discovery(), config.seed(),
+                config.sockets(), config.known(), config.settings(),
+                config.classes(), config.tenants(), config.zones(), config.kinds(), config.connIdle(),
+                config.maxOpen()));
+    }
+
+    static String json(Figures figures, String discovery, String... targets) {
+        String settings = String.format(SETTINGS, figures.connIdle, figures.maxOpen, figures.askWithin);
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:1\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":"
+                + list(1, true, targets) + ",\"settings\":" + settings + "}";
+    }
+
+    static String list(long revision, boolean all, String... targets) {
+        return "{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":["
+                + String.join(",", targets) + "]}";
+    }
+
+    static String target(String uid, String endpoint, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint + "\",\"az\":\"a\",\"model\":\"m1\","
+                + "\"pod_group\":0,\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    /** Ready targets u0, u1, ... */
+    static String[] targets(StubUpstream... upstreams) {
+        List<String> targets = new ArrayList<>();
+        for (StubUpstream upstream : upstreams) {
+            targets.add(target("u" + targets.size(), upstream.address(), "Ready"));
+        }
+        return targets.toArray(String[]::new);
+    }
+
+    /** Discovery's next answer. */
+    void tell(String list) {
+        news.add(StubUpstream.answer("200 OK", list));
+    }
+
+    TestClient client() throws Exception {
+        return new TestClient(node.address());
+    }
+
+    /** One request on a connection of its own. */
+    String ask(String request) throws Exception {
+        try (TestClient client = client()) {
+            return client.ask(request);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        node.close();
+        discovery.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/NodeTest.java
@@ -0,0 +1,201 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import levergrade.node.StubUpstream.Script;
+
+/** A request's life for each way in which an attempt can end, over loopback sockets. */
+@Timeout(60)
+class NodeTest {
+    private static final Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+
+    /** Two upstreams of which whichever comes first does the one thing, and all later requests the other. */
+    private static final class Pair implements AutoCloseable {
+        final StubUpstream one;
+        final StubUpstream two;
+        final LoopbackNode host;
+
+        Pair(Script first, Script later) throws Exception {
+            CountDownLatch latch = new CountDownLatch(1);
+            one = new StubUpstream(StubUpstream.firstThen(latch, first, later));
+            two = new StubUpstream(StubUpstream.firstThen(latch, first, later));
+            host = new LoopbackNode(one, two);
+        }
+
+        int sent() {
+            return one.requests.size() + two.requests.size();
+        }
+
+        @Override
+        public void close() throws IOException {
+            host.close();
+            one.close();
+            two.close();
+        }
+    }
+
+    private static void once(Script first, String requestClass, int status, int sent) throws Exception {
+        try (Pair pair = new Pair(first, GOOD)) {
+            String answer = pair.host.ask(TestClient.request(requestClass, "2.0"));
+            assertEquals(status, TestClient.status(answer), answer);
+            assertEquals(sent, pair.sent());
+            if (status == 200) {
+                assertEquals("fine", TestClient.body(answer));
+            }
+        }
+    }
+
+    @Test
+    void aRequestGoesOnUnchangedAndItsAnswerComesBack() throws Exception {
+        String binary = "\u00ff\u0000\u0001 body";
+        Script script = StubUpstream.says(StubUpstream.answer("200 OK", binary, "X-Load: rate=3,q=0"));
+        try (StubUpstream upstream = new StubUpstream(script);
+                LoopbackNode host = new LoopbackNode(upstream)) {
+            String answer = host.ask(TestClient.request("write", "1.500", "Keep-Alive: 5",
+                    "Connection: keep-alive, X-Private", "X-Private: secret", "X-Other: kept"));
+            assertEquals(200, TestClient.status(answer));
+            assertEquals(binary, TestClient.body(answer));
+            String sent = upstream.nextRequest();
+            assertTrue(sent.startsWith("POST /api?x=1 HTTP/1.1\r\n"), sent);
+            assertNotNull(StubUpstream.header(sent, "x-request-id"));
+            assertNotNull(StubUpstream.header(sent, "idempotency-key"));
+            assertEquals("kept", StubUpstream.header(sent, "x-other"));
+            assertNull(StubUpstream.header(sent, "x-private"), "named by Connection: ends at this hop");
+            assertNull(StubUpstream.header(sent, "keep-alive"));
+            assertEquals("body", TestClient.body(sent));
+            double left = Double.parseDouble(StubUpstream.header(sent, "x-deadline"));
+            assertTrue(left > 0 && left < 1.5, "what this attempt has left: " + left);
+        }
+    }
+
+    @Test
+    void anErrorIsTriedAgainOnlyWhereTheClassAllowsIt() throws Exception {
+        Script error = StubUpstream.says(StubUpstream.answer("500 Internal Server Error", ""));
+        once(error, "read", 200, 2);
+        once(error, "write", 200, 2);
+        once(error, "pay", 502, 1);
+    }
+
+    @Test
+    void aResetMayHaveRun() throws Exception {
+        Script reset = (socket, request) -> StubUpstream.reset(socket);
+        once(reset, "read", 200, 2);
+        once(reset, "write", 200, 2);
+        once(reset, "hold", 200, 2);
+        once(reset, "pay", 502, 1);
+    }
+
+    @Test
+    void whatWasTurnedAwayUnseenMayBeSentAgainWhateverItsClass() throws Exception {
+        for (String status : new String[] {"503 Service Unavailable", "504 Gateway Timeout"}) {
+            once(StubUpstream.says(StubUpstream.answer(status, "", "X-Not-Run: 1")), "pay", 200, 2);
+        }
+    }
+
+    @Test
+    void a503WithoutTheUpstreamsWordMayHaveRun() throws Exception {
+        once(StubUpstream.says(StubUpstream.answer("503 Service Unavailable", "")), "pay", 502, 1);
+    }
+
+    @Test
+    void anAnswerCutShortIsNotServed() throws Exception {
+        Script cut = (socket, request) -> {
+            StubUpstream.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine");
+            return false;
+        };
+        once(cut, "pay", 502, 1);
+        once(cut, "read", 200, 2);
+    }
+
+    @Test
+    void anAnswerThatOnlyTheConnectionsEndDelimitsIsNotServed() throws Exception {
+        Script endless = (socket, request) -> {
+            StubUpstream.write(socket, "HTTP/1.1 200 OK\r\n\r\nfine");
+            return false;
+        };
+        once(endless, "pay", 502, 1);
+    }
+
+    @Test
+    void anAnswerThatCantBeReadIsNotServed() throws Exception {
+        once(StubUpstream.says("\u0001\u0002 noise\r\n\r\n"), "pay", 502, 1);
+    }
+
+    @Test
+    void anUpstreamThatRefusesConnectionsIsPassedOver() throws Exception {
+        int closedPort;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            closedPort = unused.getLocalPort();
+        }
+        try (StubUpstream good = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(LoopbackNode.Figures.USUAL,
+                        LoopbackNode.target("u0", "127.0.0.1:" + closedPort, "Ready"),
+                        LoopbackNode.target("u1", good.address(), "Ready"))) {
+            for (int i = 0; i < 4; i++) {
+                assertEquals(200, TestClient.status(host.ask(TestClient.request("pay", "2.0"))));
+            }
+            assertEquals(4, good.requests.size());
+        }
+    }
+
+    @Test
+    void silenceEndsAtTheDeadlineWithAFailureAndAClosedConnection() throws Exception {
+        try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
+                LoopbackNode host = new LoopbackNode(silent)) {
+            long start = System.nanoTime();
+            String answer = host.ask(TestClient.request("pay", "0.4"));
+            assertEquals(504, TestClient.status(answer), "it may have run: no refusal");
+            assertTrue(System.nanoTime() - start >= TimeUnit.MILLISECONDS.toNanos(380), "not given up early");
+            silent.awaitClosed();
+            assertEquals(1, silent.requests.size());
+        }
+    }
+
+    @Test
+    void aHangUpEndsTheAttemptAndNothingMoreIsSent() throws Exception {
+        try (Pair pair = new Pair(StubUpstream.SILENT, StubUpstream.SILENT)) {
+            StubUpstream took = null;
+            try (TestClient client = pair.host.client()) {
+                client.send(TestClient.request("read", "2.0"));
+                while (took == null) {
+                    took = pair.one.requests.poll(10, TimeUnit.MILLISECONDS) != null ? pair.one
+                            : pair.two.requests.poll(10, TimeUnit.MILLISECONDS) != null ? pair.two : null;
+                }
+            }
+            took.awaitClosed();
+            assertEquals(0, pair.sent(), "taken from the queue above, and none since");
+        }
+    }
+
+    @Test
+    void interimAnswersAreNotTheAnswer() throws Exception {
+        Script script = StubUpstream.says("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                + StubUpstream.answer("200 OK", "fine"));
+        once(script, "pay", 200, 1);
+    }
+
+    /** Guards against a full house: what finds no room was never sent, so a repeat is harmless. */
+    @Test
+    void overTheLimitOfOpenRequestsIsRefused() throws Exception {
+        try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
+                LoopbackNode host = new LoopbackNode(new LoopbackNode.Figures(TimeUnit.SECONDS.toNanos(10), 1,
+                        TimeUnit.SECONDS.toNanos(1)), LoopbackNode.targets(silent));
+                TestClient first = host.client()) {
+            first.send(TestClient.request("pay", "1.0"));
+            silent.nextRequest();
+            assertEquals(503, TestClient.status(host.ask(TestClient.request("pay", "1.0"))));
+            assertEquals(504, TestClient.status(first.read()));
+            assertEquals(0, silent.requests.size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/ServeIT.java
@@ -0,0 +1,94 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged jar as a sidecar process. */
+@Timeout(120)
+class ServeIT {
+    @TempDir
+    private Path folder;
+
+    private Process serve(String config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-jar", "target/levergrade.jar", "serve");
+        builder.environment().remove("BALANCER_CONFIG");
+        if (config != null) {
+            Path file = folder.resolve("config.json");
+            Files.writeString(file, config);
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+        }
+        return builder.start();
+    }
+
+    @Test
+    void aMissingOrSenselessConfigurationEndsWithOnePlainLine() throws Exception {
+        for (String config : new String[] {null, "{", "{}", "[]", "{\"settings\":{}}"}) {
+            Process process = serve(config);
+            String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertNotEquals(0, process.waitFor());
+            assertEquals(1, err.strip().lines().count(), err);
+            assertTrue(err.startsWith("levergrade: "), err);
+        }
+    }
+
+    @Test
+    void sigtermAnswersWhatIsHeldAndEndsWithStatusZero() throws Exception {
+        int port;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = unused.getLocalPort();
+        }
+        CountDownLatch release = new CountDownLatch(1);
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream((socket, request) -> {
+                    release.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                    StubUpstream.write(socket, StubUpstream.answer("200 OK", "fine"));
+                    return true;
+                })) {
+            String json = LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
+                    LoopbackNode.targets(upstream)).replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"");
+            Process process = serve(json);
+            try (TestClient client = connect(process, port)) {
+                while (TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")) != 200) {
+                    assertTrue(process.isAlive());
+                }
+                client.send(TestClient.request("pay", "3.0"));
+                upstream.nextRequest();
+                process.destroy();
+                release.countDown();
+                assertEquals(200, TestClient.status(client.read()));
+                assertNull(client.read());
+                assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static TestClient connect(Process process, int port) throws IOException {
+        while (true) {
+            try {
+                return new TestClient(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            } catch (IOException e) {
+                assertTrue(process.isAlive(), "the sidecar ended before it listened");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/StubUpstream.java
@@ -0,0 +1,158 @@
+package levergrade.node;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A scripted HTTP peer on an ephemeral loopback port; serves as upstream and as discovery. */
+final class StubUpstream implements AutoCloseable {
+    /** What to do about one request; returning false ends the connection. */
+    interface Script {
+        boolean serve(Socket socket, String request) throws IOException, InterruptedException;
+    }
+
+    final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    /** One entry for each connection whose other end has closed it. */
+    final BlockingQueue<Boolean> closed = new LinkedBlockingQueue<>();
+    final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+    private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final Script script;
+
+    StubUpstream(Script script) throws IOException {
+        this.script = script;
+        daemon(this::accept);
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private static void daemon(Runnable what) {
+        Thread thread = new Thread(what);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = listener.accept();
+                accepted.add(socket);
+                daemon(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The stub was closed.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            while (true) {
+                String request = readMessage(socket.getInputStream());
+                if (request == null) {
+                    closed.add(true);
+                    return;
+                }
+                requests.add(request);
+                if (!script.serve(socket, request)) {
+                    return;
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            closed.add(true);
+        }
+    }
+
+    /** Head and body of one message with a length; null at the end of the stream. */
+    static String readMessage(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        String text = head.toString(StandardCharsets.ISO_8859_1);
+        String length = header(text, "content-length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return text + new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    static String header(String message, String name) {
+        for (String line : message.split("\r\n\r\n", 2)[0].split("\r\n")) {
+            if (line.toLowerCase().startsWith(name + ":")) {
+                return line.substring(name.length() + 1).trim();
+            }
+        }
+        return null;
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    static String answer(String status, String body, String... headers) {
+        String more = headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n";
+        return "HTTP/1.1 " + status + "\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    static Script says(String text) {
+        return (socket, request) -> {
+            write(socket, text);
+            return true;
+        };
+    }
+
+    static boolean reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        return false;
+    }
+
+    /** Never answers; tells by {@link #closed} when the other end gives up. */
+    static final Script SILENT = (socket, request) -> true;
+
+    /** Does the first on the first request of all stubs that share it, the second on every later one. */
+    static Script firstThen(CountDownLatch first, Script one, Script other) {
+        return (socket, request) -> {
+            boolean isFirst;
+            synchronized (first) {
+                isFirst = first.getCount() > 0;
+                first.countDown();
+            }
+            return (isFirst ? one : other).serve(socket, request);
+        };
+    }
+
+    String nextRequest() throws InterruptedException {
+        String request = requests.poll(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+        if (request == null) {
+            throw new AssertionError("no request came");
+        }
+        return request;
+    }
+
+    void awaitClosed() throws InterruptedException {
+        if (closed.poll(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS) == null) {
+            throw new AssertionError("the connection was not closed");
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : accepted) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/levergrade/node/TestClient.java
@@ -0,0 +1,56 @@
+package levergrade.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The application's end of one connection. */
+final class TestClient implements AutoCloseable {
+    private static final AtomicLong IDS = new AtomicLong();
+    final Socket socket = new Socket();
+
+    TestClient(InetSocketAddress address) throws IOException {
+        socket.connect(address, (int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+        socket.setTcpNoDelay(true);
+    }
+
+    /** A well-formed request of a class in {@link LoopbackNode}'s settings. */
+    static String request(String requestClass, String deadline, String... headers) {
+        String method = requestClass.equals("read") ? "GET" : "POST";
+        String key = requestClass.equals("write") || requestClass.equals("hold")
+                ? "Idempotency-Key: k" + IDS.get() + "\r\n" : "";
+        String more = headers.length == 0 ? "" : String.join("\r\n", headers) + "\r\n";
+        String body = method.equals("POST") ? "Content-Length: 4\r\n\r\nbody" : "\r\n";
+        return method + " /api?x=1 HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: id" + IDS.incrementAndGet()
+                + "\r\nX-Class: " + requestClass + "\r\nX-Deadline: " + deadline + "\r\n" + key + more + body;
+    }
+
+    void send(String text) throws IOException {
+        StubUpstream.write(socket, text);
+    }
+
+    String read() throws IOException {
+        return StubUpstream.readMessage(socket.getInputStream());
+    }
+
+    String ask(String text) throws IOException {
+        send(text);
+        return read();
+    }
+
+    static int status(String answer) {
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    static String body(String answer) {
+        return answer.split("\r\n\r\n", 2)[1];
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
