Warm the real path up before readiness

Cause: a probe on one core (400 requests, 10 ms apart, stub upstreams) showed a first request of 37 ms and 6.5 ms in the mean for requests 20 to 100; the JVM is cold. Ruled out: connections (the stubs accept at once) and discovery (a silent watch). WarmUp sends 600 requests, 1.5 s at most, through a second set of the same parts to an upstream inside the process.

--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -167,6 +167,10 @@
         return channel.parent();
     }
 
+    void close() {
+        channel.close();
+    }
+
     void closeIfIdle() {
         if (exchanges.isEmpty() && head == null && !decoder.holdsBytes() && !deaf) {
             deaf = true;
--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -106,6 +106,12 @@
         }), STILL_ACCEPTS_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends at once, whatever is open. */
+    void close() {
+        listener.close();
+        List.copyOf(connections).forEach(ClientConnection::close);
+    }
+
     private void closeIdle() {
         List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
     }
--- a/src/main/java/levergrade/node/Node.java
+++ b/src/main/java/levergrade/node/Node.java
@@ -63,7 +63,7 @@
         Clock clock = new Clock();
         UpstreamPool pool = new UpstreamPool(loop, settings.allowed().connectTimeout(), config.connIdle(),
                 (int) (config.sockets() * UPSTREAM_PART));
-        Sidecar sidecar = new Sidecar(loop, clock, config, pool);
+        Sidecar sidecar = new Sidecar(loop, clock, config, pool, System.Logger.Level.INFO);
         Targets targets = new Targets(config.zones(), config.kinds());
         Discovery discovery = new Discovery(loop, config.discovery(), targets, sidecar,
                 settings.limits().askWithin());
@@ -74,9 +74,11 @@
                     ? new Targets.Update(0, null, List.of(), Map.of()) : targets.read(config.known());
             discovery.knows(known.revision());
             sidecar.start(discovery, known.entries(), known.endpoints());
-            server.warm();
         }).get();
-        return new Node(group, server, server.listen(config.listen()));
+        InetSocketAddress address = server.listen(config.listen());
+        WarmUp.run(loop, config);
+        loop.execute(server::warm);
+        return new Node(group, server, address);
     }
 
     InetSocketAddress address() {
--- a/src/main/java/levergrade/node/Sidecar.java
+++ b/src/main/java/levergrade/node/Sidecar.java
@@ -54,6 +54,8 @@
     private final Clock clock;
     private final Settings settings;
     private final UpstreamPool pool;
+    /** At which level the module's own lines are logged. */
+    private final System.Logger.Level news;
     private final Balancer balancer;
     private final int maxOpen;
     private final Map<Long, Call> calls = new HashMap<>();
@@ -64,7 +66,8 @@
     private final Set<Long> ready = new HashSet<>();
     private boolean inModule;
 
-    Sidecar(EventLoop loop, Clock clock, Config config, UpstreamPool pool) {
+    Sidecar(EventLoop loop, Clock clock, Config config, UpstreamPool pool, System.Logger.Level news) {
+        this.news = news;
         this.loop = loop;
         this.clock = clock;
         this.settings = config.settings();
@@ -300,7 +303,7 @@
 
     @Override
     public void log(String line) {
-        LOG.log(System.Logger.Level.INFO, line);
+        LOG.log(news, line);
     }
 
     @Override
--- a/src/main/java/levergrade/node/UpstreamPool.java
+++ b/src/main/java/levergrade/node/UpstreamPool.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -44,6 +45,7 @@
     private final long maxIdle;
     private final int maxConnections;
     private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private final Future<?> sweeper;
     private int connections;
 
     UpstreamPool(EventLoop loop, long connectTimeout, long connIdle, int maxConnections) {
@@ -61,7 +63,7 @@
                     }
                 });
         long sweep = Math.max(1, maxIdle / 8);
-        loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.NANOSECONDS);
+        sweeper = loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.NANOSECONDS);
     }
 
     /** Sends a request; it is made when a connection is there, so that it can tell the time that is left. */
@@ -127,6 +129,13 @@
         }
     }
 
+    /** Closes what is idle and stops looking after it. */
+    void close() {
+        sweeper.cancel(false);
+        idle.values().forEach(all -> all.forEach(UpstreamConnection::close));
+        idle.clear();
+    }
+
     private void closeStale() {
         long now = System.nanoTime();
         idle.values().removeIf(all -> {
--- /dev/null
+++ b/src/main/java/levergrade/node/WarmUp.java
@@ -0,0 +1,166 @@
+package levergrade.node;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import levergrade.Balancer.Semantics;
+import levergrade.Balancer.State;
+import levergrade.Balancer.Upstream;
+
+/**
+ * Sends requests of every class through a second set of the same parts, to an upstream of its own inside this
+ * process, before the sidecar says that it is ready. Danger: the first requests of a cold JVM take tens of
+ * milliseconds each, on a core that has none to spare. No real upstream and no discovery is touched.
+ */
+final class WarmUp {
+    /** Where the measured time of a request stops falling steeply. */
+    private static final int REQUESTS = 600;
+    /** A slow core goes into service less warm, but soon: a restart is waited for. */
+    private static final long LONGEST_MILLIS = 1500;
+    private static final int AT_ONCE = 4;
+    private static final int BODY = 256;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final List<Channel> channels = new ArrayList<>();
+    private final CountDownLatch done = new CountDownLatch(1);
+    private int sent;
+    private int answered;
+
+    private WarmUp(EventLoop loop, Config config) {
+        this.loop = loop;
+        this.config = config;
+    }
+
+    /** Blocks until warm, so never to be called on the loop. */
+    static void run(EventLoop loop, Config config) throws InterruptedException {
+        new WarmUp(loop, config).run();
+    }
+
+    private void run() throws InterruptedException {
+        InetSocketAddress anyPort = new InetSocketAddress(config.listen().getAddress(), 0);
+        Channel upstream = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channels.add(channel);
+                        channel.pipeline().addLast(new HttpServerCodec(),
+                                new HttpObjectAggregator(UpstreamConnection.MAX_BODY), new Upstreams());
+                    }
+                }).bind(anyPort).sync().channel();
+        Clock clock = new Clock();
+        UpstreamPool pool = new UpstreamPool(loop, config.settings().allowed().connectTimeout(),
+                config.connIdle(), 2 * AT_ONCE);
+        Sidecar sidecar = new Sidecar(loop, clock, config, pool, System.Logger.Level.DEBUG);
+        ClientServer server = new ClientServer(loop, clock, sidecar, new RequestReader(config), 2 * AT_ONCE);
+        InetSocketAddress to = (InetSocketAddress) upstream.localAddress();
+        loop.execute(() -> sidecar.start(new NoLists(),
+                List.of(upstream(1), upstream(2)), Map.of(1L, to, 2L, to)));
+        InetSocketAddress address = server.listen(anyPort);
+        for (int i = 0; i < AT_ONCE; i++) {
+            channels.add(client(address));
+        }
+        done.await(LONGEST_MILLIS, TimeUnit.MILLISECONDS);
+        loop.execute(() -> {
+            sent = REQUESTS;
+            channels.forEach(Channel::close);
+            upstream.close();
+            server.close();
+            pool.close();
+        });
+    }
+
+    private Channel client(InetSocketAddress address) throws InterruptedException {
+        return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(),
+                                new HttpObjectAggregator(UpstreamConnection.MAX_BODY), new Clients());
+                    }
+                }).connect(address).sync().channel();
+    }
+
+    private static Upstream upstream(long id) {
+        return new Upstream(id, 0, 0, 0, State.READY, 1, 0);
+    }
+
+    private FullHttpRequest request() {
+        int requestClass = sent % config.classes().size();
+        boolean safe = config.settings().classes().get(requestClass).semantics() == Semantics.REPEATABLE;
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                safe ? HttpMethod.GET : HttpMethod.POST, "/api?warm-up", Unpooled.EMPTY_BUFFER);
+        request.headers().set(HttpHeaderNames.HOST, "warm-up").set(Headers.REQUEST_ID, "warm-up-" + sent)
+                .set(Headers.CLASS, config.classes().get(requestClass)).set(Headers.DEADLINE, "1.0")
+                .set(Headers.IDEMPOTENCY_KEY, sent).set(HttpHeaderNames.COOKIE, "user=7f3a9c21e0b4d655")
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0);
+        return request;
+    }
+
+    private final class Clients extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            next(ctx);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse answer) {
+            if (++answered >= REQUESTS) {
+                done.countDown();
+            }
+            next(ctx);
+        }
+
+        private void next(ChannelHandlerContext ctx) {
+            if (sent < REQUESTS) {
+                ctx.writeAndFlush(request());
+                sent++;
+            }
+        }
+    }
+
+    private final class Upstreams extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+                    Unpooled.wrappedBuffer(new byte[BODY]));
+            answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY).set(Headers.LOAD,
+                    config.settings().reportFields().stream().map(field -> field + "=1")
+                            .collect(Collectors.joining(",")));
+            ctx.writeAndFlush(answer);
+        }
+    }
+
+    private static final class NoLists implements Sidecar.Lists {
+        @Override
+        public void subscribe(boolean on) { }
+
+        @Override
+        public void fetchList() { }
+    }
+}
