Let the listening socket end before the service does

Cause: theEndOfTheServiceLosesNothing failed once in one run on one core beside a busy loop: a connection was still accepted after the drain was done. Checked: the listener was closed and no connection open at that point; the JDK ends a registered listening socket only in the selector's next round (ClientServer called the end from within the close). Ruled out: a test that is too hasty, for the connect came after the drain had been told. Now the end is told 20 ms later, after the loop has looked for events again.

--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -16,6 +16,7 @@
 final class ClientServer {
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STILL_ACCEPTS_MILLIS = 600;
+    private static final long SETTLE_MILLIS = 20;
     private static final int BACKLOG = 1024;
 
     private final EventLoop loop;
@@ -121,7 +122,9 @@
 
     private void endWhenDrained() {
         if (draining && !listener.isOpen() && connections.isEmpty() && drained != null) {
-            drained.run();
+            // Danger: the system's listening socket ends only when the loop next looks for events. What
+            // connects before would be reset by the process's end, so the loop gets to look first.
+            loop.schedule(drained, SETTLE_MILLIS, TimeUnit.MILLISECONDS);
             drained = null;
         }
     }
