--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -26,8 +26,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -42,29 +40,41 @@
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
     private static final System.Logger LOG = System.getLogger("levergrade");
     private static final String READY_PATH = "/health/ready";
-    /** Requests waiting for answers on one connection; beyond that no more are read. */
-    private static final int MAX_PIPELINED = 64;
+    /**
+     * Requests waiting for answers on one connection. Clients send one at a time; beyond this many the
+     * connection is of no use. Danger: where reading stopped instead, a hang-up would not be seen.
+     */
+    private static final int MAX_PIPELINED = 16;
     /** Time for a client to read the last answer before unread input of its own would reset it. */
     private static final long LINGER_MILLIS = 500;
 
     private final ClientServer server;
     private final Channel channel;
+    private final InputWatch input;
     private final Decoder decoder;
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private HttpRequest head;
     private ByteBuf body;
+    /** Nothing that comes from now on is read. */
     private boolean deaf;
+    private boolean lingering;
+    private boolean asked;
+    /** Since when nothing has been open; or when the request that is being read began. */
+    private long since = System.nanoTime();
+    private boolean reading;
 
-    private ClientConnection(ClientServer server, Channel channel, Decoder decoder) {
+    private ClientConnection(ClientServer server, Channel channel, InputWatch input, Decoder decoder) {
         this.server = server;
         this.channel = channel;
+        this.input = input;
         this.decoder = decoder;
     }
 
-    static void install(Channel channel, ClientServer server, long idleMillis) {
+    static void install(Channel channel, ClientServer server) {
+        InputWatch input = new InputWatch();
         Decoder decoder = new Decoder();
-        channel.pipeline().addLast(new IdleStateHandler(idleMillis, 0, 0, TimeUnit.MILLISECONDS), decoder,
-                new HttpResponseEncoder(), new ClientConnection(server, channel, decoder));
+        channel.pipeline().addLast(input, decoder, new HttpResponseEncoder(),
+                new ClientConnection(server, channel, input, decoder));
     }
 
     @Override
@@ -83,6 +93,14 @@
             return;
         }
         if (message instanceof HttpRequest request) {
+            if (!Framing.isPlain(request)) {
+                reject(HttpResponseStatus.BAD_REQUEST, "the body's length can be read in more than one way");
+                return;
+            }
+            if (exchanges.size() >= MAX_PIPELINED) {
+                reject(HttpResponseStatus.BAD_REQUEST, "too many requests at once");
+                return;
+            }
             head = request;
             body = Unpooled.buffer(256);
             if (HttpUtil.getContentLength(request, 0L) > UpstreamConnection.MAX_BODY) {
@@ -108,10 +126,23 @@
         }
     }
 
+    /** From a request's first byte its time runs, however slowly the others come. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (input.begun() && !reading) {
+            reading = true;
+            since = System.nanoTime();
+        }
+        ctx.fireChannelReadComplete();
+    }
+
     private void take(HttpRequest request, byte[] content) {
+        asked = true;
+        reading = false;
+        since = System.nanoTime();
+        input.whole(decoder.holdsBytes());
         Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request));
         exchanges.add(exchange);
-        channel.config().setAutoRead(exchanges.size() < MAX_PIPELINED);
         if (request.uri().equals(READY_PATH)) {
             if (request.method().equals(HttpMethod.GET)) {
                 boolean ready = server.ready();
@@ -132,7 +163,7 @@
 
     /** Answers what can't be read on from, after the answers still owed, and closes. */
     private void reject(HttpResponseStatus status, String why) {
-        deaf = true;
+        deafen();
         head = null;
         Exchange exchange = new Exchange(false);
         exchanges.add(exchange);
@@ -142,24 +173,29 @@
     private void flush() {
         while (!exchanges.isEmpty() && exchanges.peek().response != null) {
             Exchange exchange = exchanges.poll();
-            boolean last = !exchange.keepAlive || server.draining() && exchanges.isEmpty() && head == null;
+            boolean last = !exchange.keepAlive || server.draining() && exchanges.isEmpty() && !input.begun();
             exchange.response.headers().set(HttpHeaderNames.CONNECTION,
                     last ? HttpHeaderValues.CLOSE : HttpHeaderValues.KEEP_ALIVE);
             var written = channel.writeAndFlush(exchange.response);
+            since = reading ? since : System.nanoTime();
             if (last) {
-                deaf = true;
+                deafen();
                 written.addListener(done -> linger());
                 return;
             }
             written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
-        channel.config().setAutoRead(exchanges.size() < MAX_PIPELINED);
+    }
+
+    private void deafen() {
+        deaf = true;
+        input.discard();
     }
 
     /** Danger: closed with input unread, the connection is reset, and the answer may be lost on the way. */
     private void linger() {
         if (channel.isActive()) {
-            channel.config().setAutoRead(true);
+            lingering = true;
             ((SocketChannel) channel).shutdownOutput();
             channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -174,13 +210,59 @@
         channel.close();
     }
 
+    /** Closes it unless a request is open or has begun to arrive. */
     void closeIfIdle() {
-        if (exchanges.isEmpty() && head == null && !decoder.holdsBytes() && !deaf) {
-            deaf = true;
+        if (idle()) {
+            channel.close();
+        }
+    }
+
+    private boolean idle() {
+        return exchanges.isEmpty() && !input.begun() && !deaf;
+    }
+
+    /** Closes it unless a whole request has come that has no answer yet. */
+    void closeIfNothingIsOpen() {
+        if (exchanges.isEmpty()) {
             channel.close();
         }
     }
 
+    /**
+     * Ends what takes too long. Danger: connections left idle, or with a request that never ends, would use
+     * the descriptors up; what keeps sending a byte now and then is no better.
+     */
+    void expire(long now, ClientTimes times) {
+        long stood = TimeUnit.NANOSECONDS.toMillis(now - since);
+        if (reading && !deaf && stood >= times.request()) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
+        } else if (idle() && stood >= (asked ? times.idle() : times.first())) {
+            channel.close();
+        }
+    }
+
+    /**
+     * How readily it is closed to make room for another; 0 for not at all: a request is open or has begun to
+     * arrive, or the client may count on it. What has stood for longer goes first among equals.
+     */
+    int spare(long now) {
+        long stood = TimeUnit.NANOSECONDS.toMillis(now - since);
+        if (lingering) {
+            return 4;
+        }
+        if (!idle()) {
+            return 0;
+        }
+        if (asked) {
+            return stood >= ClientTimes.KEPT ? 2 : 0;
+        }
+        return stood >= ClientTimes.HESITATES ? 3 : 1;
+    }
+
+    long since() {
+        return since;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         deaf = true;
@@ -191,14 +273,6 @@
         ctx.fireChannelInactive();
     }
 
-    /** Danger: connections left idle, or with a request that never ends, would use the descriptors up. */
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof IdleStateEvent && exchanges.isEmpty()) {
-            channel.close();
-        }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
@@ -239,6 +313,10 @@
 
     /** Reads strictly: what could be read in two ways might hide a second request. */
     private static final class Decoder extends HttpRequestDecoder {
+        Decoder() {
+            super(Framing.strict());
+        }
+
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -5,7 +5,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.MaxMessagesRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -17,6 +19,11 @@
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long STILL_ACCEPTS_MILLIS = 600;
     private static final long SETTLE_MILLIS = 20;
+    /** At the end of the service, for a request that has begun to arrive. */
+    private static final long LAST_REQUEST_MILLIS = 300;
+    private static final long SWEEP_MILLIS = 100;
+    /** What is accepted between two looks at the connections there are; also what may come over the cap. */
+    private static final int ACCEPTS_AT_ONCE = 4;
     private static final int BACKLOG = 1024;
 
     private final EventLoop loop;
@@ -24,21 +31,24 @@
     private final Sidecar sidecar;
     private final RequestReader reader;
     private final int maxConnections;
-    private final long idleMillis;
+    private final ClientTimes times;
     private final Set<ClientConnection> connections = new HashSet<>();
+    private final Future<?> sweeper;
     private Channel listener;
     private boolean warm;
     private boolean draining;
     private Runnable drained;
 
     ClientServer(EventLoop loop, Clock clock, Sidecar sidecar, RequestReader reader, int maxConnections,
-            long idleMillis) {
-        this.idleMillis = idleMillis;
+            ClientTimes times) {
+        this.times = times;
         this.loop = loop;
         this.clock = clock;
         this.sidecar = sidecar;
         this.reader = reader;
         this.maxConnections = maxConnections;
+        this.sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Listens on this address only; blocks until it does, so never to be called on the loop. */
@@ -50,9 +60,11 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientConnection.install(channel, ClientServer.this, idleMillis);
+                        ClientConnection.install(channel, ClientServer.this);
                     }
                 }).bind(address).sync().channel();
+        listener.config().<MaxMessagesRecvByteBufAllocator>getRecvByteBufAllocator()
+                .maxMessagesPerRead(ACCEPTS_AT_ONCE);
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -82,6 +94,9 @@
 
     void opened(ClientConnection connection) {
         connections.add(connection);
+        if (connections.size() > maxConnections) {
+            makeRoom();
+        }
         bound(connection);
     }
 
@@ -93,7 +108,35 @@
 
     /** Danger: out of descriptors, accepting fails over and over, and upstreams can't be reached either. */
     private void bound(ClientConnection connection) {
-        connection.listener().config().setAutoRead(connections.size() < maxConnections);
+        connection.listener().config().setAutoRead(connections.size() <= maxConnections);
+    }
+
+    /** Danger: connections that say nothing, or no more, would shut those out that ask. */
+    private void makeRoom() {
+        long now = System.nanoTime();
+        ClientConnection spared = null;
+        int most = 0;
+        for (ClientConnection each : connections) {
+            int spare = each.spare(now);
+            if (spare > most || spare == most && spare > 0 && each.since() - spared.since() < 0) {
+                spared = each;
+                most = spare;
+            }
+        }
+        if (spared != null) {
+            connections.remove(spared);
+            spared.close();
+        }
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        for (ClientConnection each : List.copyOf(connections)) {
+            each.expire(now, times);
+        }
+        if (connections.size() > maxConnections) {
+            makeRoom();
+        }
     }
 
     /**
@@ -108,10 +151,14 @@
             closeIdle();
             endWhenDrained();
         }), STILL_ACCEPTS_MILLIS, TimeUnit.MILLISECONDS);
+        // Danger: the end would wait for a request that never ends.
+        loop.schedule(() -> List.copyOf(connections).forEach(ClientConnection::closeIfNothingIsOpen),
+                STILL_ACCEPTS_MILLIS + LAST_REQUEST_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Ends at once, whatever is open. */
     void close() {
+        sweeper.cancel(false);
         listener.close();
         List.copyOf(connections).forEach(ClientConnection::close);
     }
--- a/src/main/java/levergrade/node/Config.java
+++ b/src/main/java/levergrade/node/Config.java
@@ -7,7 +7,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import levergrade.Balancer.Discovery;
 import levergrade.Balancer.RequestClass;
 import levergrade.Balancer.Settings;
@@ -63,6 +65,18 @@
                 strings(settings.path("kinds")), connIdle, maxOpen);
     }
 
+    /** What differs in another configuration and can't be taken over while the sidecar runs. */
+    List<String> fixedParts(Config other) {
+        Map<String, Boolean> same = new LinkedHashMap<>();
+        same.put("name", name.equals(other.name));
+        same.put("listen", listen.equals(other.listen));
+        same.put("limits", sockets == other.sockets);
+        same.put("settings", settings.equals(other.settings) && classes.equals(other.classes)
+                && tenants.equals(other.tenants) && zones.equals(other.zones) && kinds.equals(other.kinds)
+                && connIdle == other.connIdle && maxOpen == other.maxOpen);
+        return same.keySet().stream().filter(part -> !same.get(part)).toList();
+    }
+
     /** The address in {@code host:port}; always a literal, for there is no DNS here. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/levergrade/node/Discovery.java
+++ b/src/main/java/levergrade/node/Discovery.java
@@ -39,9 +39,10 @@
     /** What a call may take beyond its wait; discovery itself gives a call up after two seconds. */
     private static final long PATIENCE = TimeUnit.SECONDS.toNanos(3);
     private static final int CONNECT_MILLIS = 1000;
+    private static final String LIST = "/registry/instances";
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Targets targets;
     private final Sidecar sidecar;
     private final Bootstrap bootstrap;
@@ -52,6 +53,8 @@
     private boolean calling;
     private boolean watching;
     private boolean failing;
+    /** Nothing that this discovery says builds on what another one said. */
+    private boolean wholeFirst;
     private long revision;
 
     Discovery(EventLoop loop, InetSocketAddress address, Targets targets, Sidecar sidecar, long askWithin) {
@@ -89,11 +92,28 @@
     @Override
     public void fetchList() {
         drop();
-        call("/registry/instances", 0);
+        call(LIST, 0);
+    }
+
+    /**
+     * Follows another discovery from now on: first its whole list, whose versions need not go on from the
+     * old one's. A call that is out ends untold, for nothing has failed.
+     */
+    void moveTo(InetSocketAddress other) {
+        drop();
+        address = other;
+        wholeFirst = true;
+        if (watching) {
+            watch();
+        }
     }
 
     private void watch() {
-        call("/registry/instances?since=" + revision + "&timeout_ms=" + watchMillis,
+        if (wholeFirst) {
+            call(LIST, 0);
+            return;
+        }
+        call(LIST + "?since=" + revision + "&timeout_ms=" + watchMillis,
                 TimeUnit.MILLISECONDS.toNanos(watchMillis));
     }
 
@@ -138,6 +158,7 @@
         Targets.Update update = targets.read(json.readTree(ByteBufUtil.getBytes(answer.content())));
         done();
         revision = update.revision();
+        wholeFirst &= update.kind() != ListKind.FULL;
         if (!HttpUtil.isKeepAlive(answer)) {
             drop();
         }
--- a/src/main/java/levergrade/node/Node.java
+++ b/src/main/java/levergrade/node/Node.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import levergrade.Balancer.RequestClass;
 import levergrade.Balancer.Settings;
 
 /** {@code java -jar levergrade.jar serve}: puts the parts of one real sidecar together and runs them. */
@@ -22,28 +23,33 @@
     private static final double UPSTREAM_PART = 0.45;
     /** Longer than any client waits; what is still open then has no one to answer to. */
     private static final long LONGEST_DRAIN_SECONDS = 10;
-
-    /** Far longer than any deadline; a client that wants to go on opens another connection. */
-    private static final long CLIENT_IDLE_MILLIS = 60_000;
+    /** A begun answer comes whole in moments; this part of the shortest aim leaves time for another. */
+    private static final int STALL_PART = 5;
 
     private final EventLoopGroup group;
     private final ClientServer server;
+    private final Discovery discovery;
     private final InetSocketAddress address;
 
-    private Node(EventLoopGroup group, ClientServer server, InetSocketAddress address) {
+    private Node(EventLoopGroup group, ClientServer server, Discovery discovery, InetSocketAddress address) {
         this.group = group;
         this.server = server;
+        this.discovery = discovery;
         this.address = address;
     }
 
     static void main() {
+        Reload reload = new Reload();
+        HangupSignal.handle(reload::requested);
         Config config;
+        Path file;
         try {
-            String file = System.getenv("BALANCER_CONFIG");
-            if (file == null || file.isEmpty()) {
+            String named = System.getenv("BALANCER_CONFIG");
+            if (named == null || named.isEmpty()) {
                 throw new IllegalArgumentException("BALANCER_CONFIG is not set");
             }
-            config = Config.read(Path.of(file));
+            file = Path.of(named);
+            config = Config.read(file);
         } catch (IOException | IllegalArgumentException e) {
             System.err.println("levergrade: configuration: " + String.valueOf(e.getMessage()).split("\n")[0]);
             System.exit(2);
@@ -53,6 +59,7 @@
             Node node = start(config);
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt, "drain"));
             LOG.log(System.Logger.Level.INFO, config.name() + " serves at " + config.listen());
+            reload.begin(node, file, config);
         } catch (Exception e) {
             // Also the checked ones that Netty throws undeclared, such as an address in use.
             System.err.println("levergrade: can't start: " + String.valueOf(e.getMessage()).split("\n")[0]);
@@ -61,22 +68,22 @@
     }
 
     static Node start(Config config) throws InterruptedException, ExecutionException {
-        return start(config, CLIENT_IDLE_MILLIS);
+        return start(config, ClientTimes.USUAL);
     }
 
-    static Node start(Config config, long clientIdleMillis) throws InterruptedException, ExecutionException {
+    static Node start(Config config, ClientTimes times) throws InterruptedException, ExecutionException {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         Settings settings = config.settings();
         Clock clock = new Clock();
         UpstreamPool pool = new UpstreamPool(loop, settings.allowed().connectTimeout(), config.connIdle(),
-                (int) (config.sockets() * UPSTREAM_PART));
+                stall(settings), (int) (config.sockets() * UPSTREAM_PART));
         Sidecar sidecar = new Sidecar(loop, clock, config, pool, System.Logger.Level.INFO);
         Targets targets = new Targets(config.zones(), config.kinds());
         Discovery discovery = new Discovery(loop, config.discovery(), targets, sidecar,
                 settings.limits().askWithin());
         ClientServer server = new ClientServer(loop, clock, sidecar, new RequestReader(config),
-                (int) (config.sockets() * CLIENT_PART), clientIdleMillis);
+                (int) (config.sockets() * CLIENT_PART), times);
         loop.submit(() -> {
             Targets.Update known = config.known() == null || config.known().isNull()
                     ? new Targets.Update(0, null, List.of(), Map.of()) : targets.read(config.known());
@@ -86,7 +93,17 @@
         InetSocketAddress address = server.listen(config.listen());
         WarmUp.run(loop, config);
         loop.execute(server::warm);
-        return new Node(group, server, address);
+        return new Node(group, server, discovery, address);
+    }
+
+    /** Nanoseconds for which an answer may pause once it has begun. */
+    static long stall(Settings settings) {
+        return settings.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow() / STALL_PART;
+    }
+
+    /** Goes over to another discovery; requests go on untouched. */
+    void follow(InetSocketAddress otherDiscovery) {
+        group.execute(() -> discovery.moveTo(otherDiscovery));
     }
 
     InetSocketAddress address() {
--- /dev/null
+++ b/src/main/java/levergrade/node/Reload.java
@@ -0,0 +1,57 @@
+package levergrade.node;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+
+/**
+ * New configurations while the sidecar runs. The file is read on the thread that brings the signal, so that
+ * the loop does not wait for it; a file that can't be used changes nothing.
+ */
+final class Reload {
+    private static final System.Logger LOG = System.getLogger("levergrade");
+
+    private Node node;
+    private Path file;
+    /** What the sidecar runs with, but for the address of discovery. */
+    private Config started;
+    private InetSocketAddress discovery;
+    private boolean early;
+
+    /** From here on requests are carried out; one that came before is carried out now. */
+    synchronized void begin(Node running, Path path, Config config) {
+        node = running;
+        file = path;
+        started = config;
+        discovery = config.discovery();
+        if (early) {
+            requested();
+        }
+    }
+
+    synchronized void requested() {
+        if (node == null) {
+            early = true;
+            return;
+        }
+        Config next;
+        try {
+            next = Config.read(file);
+        } catch (IOException | RuntimeException e) {
+            LOG.log(System.Logger.Level.WARNING, "new configuration not used: "
+                    + String.valueOf(e.getMessage()).split("\n")[0]);
+            return;
+        }
+        List<String> fixed = started.fixedParts(next);
+        if (!fixed.isEmpty()) {
+            LOG.log(System.Logger.Level.WARNING,
+                    "needs a restart to take effect: " + String.join(", ", fixed));
+        }
+        if (!next.discovery().equals(discovery)) {
+            discovery = next.discovery();
+            LOG.log(System.Logger.Level.INFO, "discovery is now at " + discovery);
+            node.follow(discovery);
+        }
+    }
+}
--- a/src/main/java/levergrade/node/RequestReader.java
+++ b/src/main/java/levergrade/node/RequestReader.java
@@ -38,8 +38,8 @@
     }
 
     private static final String PATH = "/api";
-    /** No client waits longer; a larger deadline is senseless. */
-    private static final double LONGEST_SECONDS = 86_400;
+    /** No client waits longer; a larger deadline is senseless, and would hold what it holds for as long. */
+    private static final double LONGEST_SECONDS = 60;
 
     private final Config config;
 
@@ -58,7 +58,8 @@
                     HttpMethod.POST);
         }
         HttpHeaders headers = Headers.endToEnd(head.headers());
-        if (headers.get(Headers.REQUEST_ID, "").isBlank()) {
+        String name = headers.get(Headers.REQUEST_ID, "");
+        if (name.isBlank()) {
             throw bad("X-Request-Id missing");
         }
         int requestClass = config.classes().indexOf(headers.get(Headers.CLASS, ""));
@@ -79,7 +80,7 @@
             throw bad("X-Deadline missing or senseless");
         }
         double hint = number(headers.get(Headers.COST_HINT));
-        return new ClientRequest(arrived, (long) (seconds * TimeUnit.SECONDS.toNanos(1)), requestClass,
+        return new ClientRequest(name, arrived, (long) (seconds * TimeUnit.SECONDS.toNanos(1)), requestClass,
                 Math.max(0, config.tenants().indexOf(headers.get(Headers.TENANT, ""))),
                 key(headers.get(HttpHeaderNames.COOKIE)),
                 hint > 0 ? (long) (hint * TimeUnit.MICROSECONDS.toNanos(1)) : 0,
--- a/src/main/java/levergrade/node/Sidecar.java
+++ b/src/main/java/levergrade/node/Sidecar.java
@@ -58,7 +58,9 @@
     private final Balancer balancer;
     private final int maxOpen;
     private final Map<Long, Call> calls = new HashMap<>();
-    private final Map<Long, InetSocketAddress> addresses = new HashMap<>();
+    /** The clients' own ids of the requests that are open. */
+    private final Set<String> names = new HashSet<>();
+    private final Map<Long, Endpoint> endpoints = new HashMap<>();
     private Lists lists;
     private long lastId;
     private int open;
@@ -76,19 +78,25 @@
     }
 
     /** Begins with the list as last known. */
-    void start(Lists discovery, List<Upstream> cached, Map<Long, InetSocketAddress> endpoints) {
+    void start(Lists discovery, List<Upstream> cached, Map<Long, InetSocketAddress> listed) {
         lists = discovery;
         tell(() -> balancer.start(clock.now()));
-        listChanged(ListKind.CACHED, cached, endpoints);
+        listChanged(ListKind.CACHED, cached, listed);
     }
 
-    void listChanged(ListKind kind, List<Upstream> entries, Map<Long, InetSocketAddress> endpoints) {
+    void listChanged(ListKind kind, List<Upstream> entries, Map<Long, InetSocketAddress> listed) {
         Set<Long> noLonger = new HashSet<>();
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
-            noLonger.addAll(addresses.keySet());
-            noLonger.removeAll(endpoints.keySet());
+            noLonger.addAll(endpoints.keySet());
+            noLonger.removeAll(listed.keySet());
         }
-        addresses.putAll(endpoints);
+        listed.forEach((id, address) -> {
+            Endpoint endpoint = new Endpoint(id, address);
+            Endpoint before = endpoints.put(id, endpoint);
+            if (before != null && !before.equals(endpoint)) {
+                pool.closeIdle(before);
+            }
+        });
         for (Upstream entry : entries) {
             if (entry.state() == State.READY) {
                 ready.add(entry.id());
@@ -104,7 +112,7 @@
         for (long id : noLonger) {
             closeIdle(id);
             ready.remove(id);
-            addresses.remove(id);
+            endpoints.remove(id);
         }
         tell(() -> balancer.listChanged(clock.now(), kind, entries));
     }
@@ -120,6 +128,11 @@
             client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, EmptyHttpHeaders.INSTANCE, NO_BODY);
             return () -> { };
         }
+        // Danger: two requests under one id are one to an upstream, and an answer could go to either.
+        if (!names.add(request.name())) {
+            client.answer(HttpResponseStatus.CONFLICT, EmptyHttpHeaders.INSTANCE, NO_BODY);
+            return () -> { };
+        }
         // Time for the answer to reach the client before it gives up.
         long margin = Math.min(settings.quantum(), request.patience() / 4);
         Call call = new Call(++lastId, request, client, request.arrived() + request.patience() - margin);
@@ -183,14 +196,14 @@
                 timeout == 0 ? call.deadline : Math.min(call.deadline, now + timeout));
         call.attempts.add(attempt);
         call.out++;
-        InetSocketAddress address = addresses.get(upstream);
-        if (call.over || attempt.until <= now || address == null
+        Endpoint endpoint = endpoints.get(upstream);
+        if (call.over || attempt.until <= now || endpoint == null
                 || attempt.number >= settings.allowed().tryLimit()) {
             loop.execute(() -> ended(attempt, UpstreamPool.Result.of(Outcome.NEVER_SENT)));
             return;
         }
         attempt.timer = schedule(attempt.until, () -> timedOut(attempt));
-        attempt.exchange = pool.start(address, () -> upstreamRequest(attempt, address),
+        attempt.exchange = pool.start(endpoint, () -> upstreamRequest(attempt, endpoint.address()),
                 result -> ended(attempt, result));
     }
 
@@ -253,6 +266,7 @@
     /** The request is over: nothing more is sent for it. */
     private void end(Call call) {
         call.over = true;
+        names.remove(call.request.name());
         call.backstop.cancel(false);
         open--;
         forget(call);
@@ -307,9 +321,9 @@
 
     @Override
     public void closeIdle(long upstream) {
-        InetSocketAddress address = addresses.get(upstream);
-        if (address != null) {
-            pool.closeIdle(address);
+        Endpoint endpoint = endpoints.get(upstream);
+        if (endpoint != null) {
+            pool.closeIdle(endpoint);
         }
     }
 
--- a/src/main/java/levergrade/node/UpstreamConnection.java
+++ b/src/main/java/levergrade/node/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
@@ -13,13 +14,15 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import levergrade.Balancer.Outcome;
 import levergrade.node.UpstreamPool.Result;
 
@@ -30,42 +33,61 @@
     static final int MAX_BODY = 64 * 1024;
 
     private final UpstreamPool pool;
+    private final InputWatch input;
     private final Decoder decoder;
     private final Channel channel;
-    private InetSocketAddress address;
+    private final long stall;
+    private Future<?> stalled;
+    private Endpoint endpoint;
     private UpstreamExchange exchange;
     private HttpResponse head;
     private ByteBuf body;
     private Result result;
     private long idleSince;
 
-    private UpstreamConnection(UpstreamPool pool, Channel channel, Decoder decoder) {
+    private UpstreamConnection(UpstreamPool pool, Channel channel, InputWatch input, Decoder decoder,
+            long stall) {
         this.pool = pool;
         this.channel = channel;
+        this.input = input;
         this.decoder = decoder;
+        this.stall = stall;
     }
 
-    static void install(Channel channel, UpstreamPool pool) {
+    /** With the nanoseconds for which an answer may pause once it has begun. */
+    static void install(Channel channel, UpstreamPool pool, long stall) {
+        InputWatch input = new InputWatch();
         Decoder decoder = new Decoder();
-        channel.pipeline().addLast(decoder, new HttpRequestEncoder(),
-                new UpstreamConnection(pool, channel, decoder));
+        channel.pipeline().addLast(input, decoder, new HttpRequestEncoder(),
+                new UpstreamConnection(pool, channel, input, decoder, stall));
     }
 
-    UpstreamConnection open(InetSocketAddress to) {
-        address = to;
+    UpstreamConnection open(Endpoint to) {
+        endpoint = to;
         return this;
     }
 
-    InetSocketAddress address() {
-        return address;
+    Endpoint endpoint() {
+        return endpoint;
     }
 
     long idleSince() {
         return idleSince;
     }
 
-    boolean usable() {
-        return channel.isActive() && !decoder.holdsBytes();
+    private boolean usable() {
+        return channel.isActive() && !input.begun();
+    }
+
+    /**
+     * Whether nothing has come since the last answer. Danger: nothing in an answer tells which request it is
+     * for. A second copy that the system holds for us, unread, would be taken for the next request's.
+     */
+    boolean quiet() {
+        if (channel.isActive()) {
+            ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        }
+        return usable();
     }
 
     void close() {
@@ -94,17 +116,21 @@
             return;
         }
         if (message instanceof HttpResponse response) {
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                    && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
                 return;
             }
-            if (!HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
-                // An answer that only the connection's end delimits can't be known to be whole.
+            if (!canBeServed(response)) {
                 channel.close();
                 return;
             }
             head = response;
             body = Unpooled.buffer(256);
         }
+        if (head == null && message instanceof LastHttpContent) {
+            // The end of an interim answer: the real one may take its time.
+            input.whole(decoder.holdsBytes());
+        }
         if (message instanceof HttpContent content && head != null) {
             if (body.readableBytes() + content.content().readableBytes() > MAX_BODY) {
                 channel.close();
@@ -112,11 +138,30 @@
             }
             body.writeBytes(content.content());
             if (message instanceof LastHttpContent) {
+                input.whole(decoder.holdsBytes());
                 result = new Result(outcome(head), head.headers(), ByteBufUtil.getBytes(body));
             }
         }
     }
 
+    /** An answer that only the connection's end delimits can't be known to be whole. */
+    private static boolean canBeServed(HttpResponse response) {
+        boolean delimited = HttpUtil.isContentLengthSet(response)
+                || HttpUtil.isTransferEncodingChunked(response);
+        return delimited && Framing.isPlain(response) && HttpUtil.getContentLength(response, 0L) <= MAX_BODY;
+    }
+
+    /** Danger: an answer cut short on an open connection would be waited for until the deadline. */
+    private void watchForStall() {
+        if (stalled != null) {
+            stalled.cancel(false);
+            stalled = null;
+        }
+        if (exchange != null && input.begun()) {
+            stalled = channel.eventLoop().schedule(() -> channel.close(), stall, TimeUnit.NANOSECONDS);
+        }
+    }
+
     /**
      * The answer is told, and the connection offered again, only when all that came with it has been read:
      * noise behind an answer must not meet the next request.
@@ -138,6 +183,7 @@
             }
             done.end(told);
         }
+        watchForStall();
         ctx.fireChannelReadComplete();
     }
 
@@ -167,13 +213,17 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            LOG.log(System.Logger.Level.ERROR, "a connection to " + address + " failed", cause);
+            LOG.log(System.Logger.Level.ERROR, "a connection to " + endpoint + " failed", cause);
         }
         channel.close();
     }
 
     /** Reads answers strictly and tells whether bytes of a further one are waiting. */
     private static final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(Framing.strict());
+        }
+
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
--- a/src/main/java/levergrade/node/UpstreamPool.java
+++ b/src/main/java/levergrade/node/UpstreamPool.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
@@ -44,11 +43,11 @@
     private final Bootstrap bootstrap;
     private final long maxIdle;
     private final int maxConnections;
-    private final Map<InetSocketAddress, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
+    private final Map<Endpoint, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private final Future<?> sweeper;
     private int connections;
 
-    UpstreamPool(EventLoop loop, long connectTimeout, long connIdle, int maxConnections) {
+    UpstreamPool(EventLoop loop, long connectTimeout, long connIdle, long stall, int maxConnections) {
         this.loop = loop;
         this.maxIdle = (long) (connIdle * IDLE_PART);
         this.maxConnections = maxConnections;
@@ -59,7 +58,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        UpstreamConnection.install(channel, UpstreamPool.this);
+                        UpstreamConnection.install(channel, UpstreamPool.this, stall);
                     }
                 });
         long sweep = Math.max(1, maxIdle / 8);
@@ -67,22 +66,22 @@
     }
 
     /** Sends a request; it is made when a connection is there, so that it can tell the time that is left. */
-    UpstreamExchange start(InetSocketAddress address, Supplier<FullHttpRequest> request, Listener listener) {
+    UpstreamExchange start(Endpoint endpoint, Supplier<FullHttpRequest> request, Listener listener) {
         UpstreamExchange exchange = new UpstreamExchange(request, listener);
-        UpstreamConnection pooled = takeIdle(address);
+        UpstreamConnection pooled = takeIdle(endpoint);
         if (pooled != null) {
             pooled.carry(exchange);
         } else if (connections >= maxConnections && !evictIdle()) {
             loop.execute(() -> exchange.end(Result.of(Outcome.NEVER_SENT)));
         } else {
-            connect(address, exchange);
+            connect(endpoint, exchange);
         }
         return exchange;
     }
 
-    private void connect(InetSocketAddress address, UpstreamExchange exchange) {
+    private void connect(Endpoint endpoint, UpstreamExchange exchange) {
         connections++;
-        var connecting = bootstrap.connect(address);
+        var connecting = bootstrap.connect(endpoint.address());
         Channel channel = connecting.channel();
         exchange.connecting(channel);
         channel.closeFuture().addListener(closed -> connections--);
@@ -92,17 +91,17 @@
             } else if (exchange.over()) {
                 channel.close();
             } else {
-                channel.pipeline().get(UpstreamConnection.class).open(address).carry(exchange);
+                channel.pipeline().get(UpstreamConnection.class).open(endpoint).carry(exchange);
             }
         });
     }
 
     /** The most recently used one: the others grow old and leave the upstream's table. */
-    private UpstreamConnection takeIdle(InetSocketAddress address) {
-        ArrayDeque<UpstreamConnection> all = idle.get(address);
+    private UpstreamConnection takeIdle(Endpoint endpoint) {
+        ArrayDeque<UpstreamConnection> all = idle.get(endpoint);
         while (all != null && !all.isEmpty()) {
             UpstreamConnection connection = all.pop();
-            if (connection.usable() && System.nanoTime() - connection.idleSince() < maxIdle) {
+            if (connection.quiet() && System.nanoTime() - connection.idleSince() < maxIdle) {
                 return connection;
             }
             connection.close();
@@ -111,19 +110,19 @@
     }
 
     void release(UpstreamConnection connection) {
-        idle.computeIfAbsent(connection.address(), address -> new ArrayDeque<>()).push(connection);
+        idle.computeIfAbsent(connection.endpoint(), endpoint -> new ArrayDeque<>()).push(connection);
     }
 
     void closed(UpstreamConnection connection) {
-        ArrayDeque<UpstreamConnection> all = idle.get(connection.address());
+        ArrayDeque<UpstreamConnection> all = idle.get(connection.endpoint());
         if (all != null && all.remove(connection) && all.isEmpty()) {
-            idle.remove(connection.address());
+            idle.remove(connection.endpoint());
         }
     }
 
     /** Closes the idle connections to one upstream. */
-    void closeIdle(InetSocketAddress address) {
-        ArrayDeque<UpstreamConnection> all = idle.remove(address);
+    void closeIdle(Endpoint endpoint) {
+        ArrayDeque<UpstreamConnection> all = idle.remove(endpoint);
         if (all != null) {
             all.forEach(UpstreamConnection::close);
         }
--- a/src/main/java/levergrade/node/WarmUp.java
+++ b/src/main/java/levergrade/node/WarmUp.java
@@ -75,10 +75,10 @@
                 }).bind(anyPort).sync().channel();
         Clock clock = new Clock();
         UpstreamPool pool = new UpstreamPool(loop, config.settings().allowed().connectTimeout(),
-                config.connIdle(), 2 * AT_ONCE);
+                config.connIdle(), Node.stall(config.settings()), 2 * AT_ONCE);
         Sidecar sidecar = new Sidecar(loop, clock, config, pool, System.Logger.Level.DEBUG);
         ClientServer server = new ClientServer(loop, clock, sidecar, new RequestReader(config), 2 * AT_ONCE,
-                LONGEST_MILLIS);
+                ClientTimes.USUAL);
         InetSocketAddress to = (InetSocketAddress) upstream.localAddress();
         loop.execute(() -> sidecar.start(new NoLists(),
                 List.of(upstream(1), upstream(2)), Map.of(1L, to, 2L, to)));
--- a/src/test/java/levergrade/node/ClientServerTest.java
+++ b/src/test/java/levergrade/node/ClientServerTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -58,6 +60,19 @@
         ends.put(good.replace("Content-Length: 4", "Content-Length: 65537"), 413);
         ends.put(good.replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n11000\r\n"
                 + "x".repeat(0x11000)), 413);
+        for (String framing : new String[] {"Content-Length: +4", "Content-Length: 4\r\nContent-Length: 4",
+            "Content-Length: 4,4", "Content-Length: ", "Content-Length: 99999999999999999999",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4",
+            "Transfer-Encoding:\r\n chunked\r\nContent-Length: 4",
+            "Transfer-Encoding: xchunked\r\nContent-Length: 4",
+            "Transfer-Encoding: identity\r\nContent-Length: 4",
+            "Transfer-Encoding : chunked\r\nContent-Length: 4", "Transfer-Encoding: \u000bchunked",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked, chunked",
+            "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked",
+            "Content-Length : 4", "Content-Length: 4\n"}) {
+            ends.put(good.replace("Content-Length: 4\r\n", framing + "\r\n"), 400);
+        }
+        ends.put(good.replace("\r\n", "\n"), 400);
         ends.put("GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n", 400);
         try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream)) {
             try (TestClient client = host.client()) {
@@ -120,7 +135,8 @@
     /** Guards against descriptors used up by clients that say nothing, or half of something. */
     @Test
     void idleClientsAreLetGoButNotThoseThatWait() throws Exception {
-        Figures hasty = new Figures(TimeUnit.SECONDS.toNanos(10), 1000, TimeUnit.SECONDS.toNanos(1), 200);
+        Figures hasty = new Figures(TimeUnit.SECONDS.toNanos(10), 1000, TimeUnit.SECONDS.toNanos(1),
+                new ClientTimes(200, 200, 200));
         try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
                 LoopbackNode host = new LoopbackNode(hasty, LoopbackNode.targets(silent));
                 TestClient mute = host.client(); TestClient half = host.client();
@@ -128,11 +144,122 @@
             half.send("GET /api HT");
             waiting.send(TestClient.request("pay", "1.0"));
             assertNull(mute.read());
-            assertNull(half.read());
+            assertEquals(408, TestClient.status(half.read()));
             assertEquals(504, TestClient.status(waiting.read()));
         }
     }
 
+    /** Guards against a time limit that every byte puts off: a request that trickles in ends all the same. */
+    @Test
+    void aRequestThatTricklesInIsEnded() throws Exception {
+        Figures hasty = new Figures(TimeUnit.SECONDS.toNanos(10), 1000, TimeUnit.SECONDS.toNanos(1),
+                new ClientTimes(400, 60_000, 60_000));
+        try (StubUpstream upstream = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(hasty, LoopbackNode.targets(upstream));
+                TestClient slow = host.client()) {
+            slow.send("GET /api HTTP/1.1\r\n");
+            long start = System.nanoTime();
+            while (slow.socket.getInputStream().available() == 0) {
+                slow.send("X-More: x\r\n");
+                Thread.sleep(20);
+                assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(5), "never ended");
+            }
+            assertEquals(408, TestClient.status(slow.read()));
+            assertEquals(0, upstream.requests.size());
+        }
+    }
+
+    /** Guards against silent connections that use the descriptors up and shut those out that ask. */
+    @Test
+    void silentConnectionsMakeRoomForThoseThatAsk() throws Exception {
+        Figures patient = new Figures(TimeUnit.SECONDS.toNanos(10), 1000, TimeUnit.SECONDS.toNanos(1),
+                new ClientTimes(60_000, 60_000, 60_000));
+        CountDownLatch release = new CountDownLatch(1);
+        List<TestClient> silent = new ArrayList<>();
+        try (StubUpstream upstream = new StubUpstream((socket, request) -> {
+                    release.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                    return GOOD.serve(socket, request);
+                });
+                LoopbackNode host = new LoopbackNode(patient, LoopbackNode.targets(upstream));
+                TestClient half = host.client(); TestClient open = host.client()) {
+            String request = TestClient.request("pay", "3.0");
+            half.send(request.substring(0, 20));
+            open.send(TestClient.request("pay", "3.0"));
+            upstream.nextRequest();
+            for (int i = 0; i < 600; i++) {
+                silent.add(host.client());
+            }
+            release.countDown();
+            assertEquals(200, TestClient.status(host.ask(TestClient.request("pay", "3.0"))));
+            assertEquals(200, TestClient.status(open.read()), "one with a request open stays");
+            half.send(request.substring(20));
+            assertEquals(200, TestClient.status(half.read()), "one whose request has begun to arrive stays");
+            assertNull(silent.get(0).read(), "the longest silent one went");
+        } finally {
+            for (TestClient each : silent) {
+                each.close();
+            }
+        }
+    }
+
+    /** Guards against answers that go to the wrong one of two requests under one id. */
+    @Test
+    void theIdOfAnOpenRequestIsTurnedAway() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (StubUpstream upstream = new StubUpstream((socket, request) -> {
+                    release.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                    return GOOD.serve(socket, request);
+                });
+                LoopbackNode host = new LoopbackNode(upstream); TestClient first = host.client()) {
+            String request = TestClient.request("read", "3.0");
+            first.send(request);
+            upstream.nextRequest();
+            assertEquals(409, TestClient.status(host.ask(request)));
+            assertEquals(0, upstream.requests.size());
+            release.countDown();
+            assertEquals(200, TestClient.status(first.read()));
+            assertEquals(200, TestClient.status(host.ask(request)), "free again once it has its answer");
+        }
+    }
+
+    /** Guards against one connection that holds requests without bound, or whose hang-up is not seen. */
+    @Test
+    void hundredsOfRequestsAtOnceEndTheConnection() throws Exception {
+        try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
+                LoopbackNode host = new LoopbackNode(silent); TestClient client = host.client()) {
+            StringBuilder many = new StringBuilder();
+            for (int i = 0; i < 200; i++) {
+                many.append(TestClient.request("read", "0.5"));
+            }
+            client.send(many.toString());
+            String last = null;
+            int answers = 0;
+            for (String next = client.read(); next != null; next = client.read()) {
+                last = next;
+                answers++;
+                assertTrue(TestClient.status(next) >= 400, next);
+            }
+            assertEquals(400, TestClient.status(last));
+            assertTrue(answers < 50, "answers: " + answers);
+        }
+    }
+
+    /** Guards against an end of the service that waits for a request which never ends. */
+    @Test
+    void theEndOfTheServiceDoesNotWaitForHalfARequest() throws Exception {
+        Figures patient = new Figures(TimeUnit.SECONDS.toNanos(10), 1000, TimeUnit.SECONDS.toNanos(1),
+                new ClientTimes(60_000, 60_000, 60_000));
+        CountDownLatch drained = new CountDownLatch(1);
+        try (LoopbackNode host = new LoopbackNode(patient); TestClient half = host.client();
+                TestClient mute = host.client()) {
+            half.send("GET /api HTTP/1.1\r\n");
+            mute.send("\r\n");
+            assertEquals(503, TestClient.status(host.ask(READY)));
+            host.node.drain(drained::countDown);
+            assertTrue(drained.await(2, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void aRefusalTellsWhenToComeBackWhereThatIsAllowed() throws Exception {
         String gone = LoopbackNode.target("u0", "127.0.0.1:9", "Terminating");
--- a/src/test/java/levergrade/node/DiscoveryTest.java
+++ b/src/test/java/levergrade/node/DiscoveryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -109,6 +110,25 @@
         }
     }
 
+    /** Guards against a list of another discovery's taken for changes, and a move taken for a failure. */
+    @Test
+    void anotherDiscoveryIsFollowedFromItsWholeListOn() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                StubUpstream other = new StubUpstream(StubUpstream.firstThen(new CountDownLatch(1),
+                        StubUpstream.says(StubUpstream.answer("200 OK", LoopbackNode.list(1, true,
+                                LoopbackNode.target("u1", two.address(), "Ready")))), StubUpstream.SILENT));
+                LoopbackNode host = new LoopbackNode(one)) {
+            watchSince(host, 1);
+            host.tell(LoopbackNode.list(7, true, LoopbackNode.targets(one)));
+            watchSince(host, 7);
+            host.node.follow(Config.address(other.address()));
+            assertTrue(other.nextRequest().startsWith("GET /registry/instances HTTP"), "the list first");
+            assertTrue(other.nextRequest().startsWith("GET /registry/instances?since=1&"), "then a watch");
+            assertServed(host, two, one);
+            assertEquals(0, host.discovery.requests.size(), "the old one is asked no more");
+        }
+    }
+
     /** Guards against a watch on a machine that vanished, which would be waited for without end. */
     @Test
     void aSilentWatchIsGivenUp() throws Exception {
--- a/src/test/java/levergrade/node/LoopbackNode.java
+++ b/src/test/java/levergrade/node/LoopbackNode.java
@@ -45,9 +45,9 @@
     });
 
     /** Figures of the settings that tests vary. */
-    record Figures(long connIdle, int maxOpen, long askWithin, long clientIdleMillis) {
+    record Figures(long connIdle, int maxOpen, long askWithin, ClientTimes times) {
         Figures(long connIdle, int maxOpen, long askWithin) {
-            this(connIdle, maxOpen, askWithin, TimeUnit.SECONDS.toMillis(60));
+            this(connIdle, maxOpen, askWithin, ClientTimes.USUAL);
         }
 
         static final Figures USUAL = new Figures(TimeUnit.SECONDS.toNanos(10), 1000,
@@ -65,7 +65,7 @@
         node = Node.start(new Config(config.name(), anyPort, config.discovery(), config.seed(),
                 config.sockets(), config.known(), config.settings(),
                 config.classes(), config.tenants(), config.zones(), config.kinds(), config.connIdle(),
-                config.maxOpen()), figures.clientIdleMillis);
+                config.maxOpen()), figures.times);
     }
 
     static String json(Figures figures, String discovery, String... targets) {
--- a/src/test/java/levergrade/node/NodeTest.java
+++ b/src/test/java/levergrade/node/NodeTest.java
@@ -177,6 +177,30 @@
         }
     }
 
+    /** Guards against an attempt that waits for the rest of an answer which never comes. */
+    @Test
+    void anAnswerThatStopsIsGivenUpEarlyEnoughForAnother() throws Exception {
+        for (String cut : new String[] {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine",
+            "HTTP/1.1 200 OK\r\n", "noise", "\r\n", "HTTP/1.1 101 Switching\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n"}) {
+            long start = System.nanoTime();
+            once(StubUpstream.says(cut), "read", 200, 2);
+            once(StubUpstream.says(cut), "pay", 502, 1);
+            assertTrue(System.nanoTime() - start < TimeUnit.SECONDS.toNanos(2), "waited for: " + cut);
+        }
+    }
+
+    /** Guards against memory and time spent on an answer that can't be served. */
+    @Test
+    void anAnswerThatIsTooLongIsGivenUpByItsHead() throws Exception {
+        for (String length : new String[] {"3000000000", "65537", "99999999999999999999", "-1", "4, 4"}) {
+            long start = System.nanoTime();
+            once(StubUpstream.says("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nfine"), "pay",
+                    502, 1);
+            assertTrue(System.nanoTime() - start < TimeUnit.MILLISECONDS.toNanos(200), "stalled: " + length);
+        }
+    }
+
     @Test
     void interimAnswersAreNotTheAnswer() throws Exception {
         Script script = StubUpstream.says("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
--- a/src/test/java/levergrade/node/ServeIT.java
+++ b/src/test/java/levergrade/node/ServeIT.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -82,6 +83,57 @@
         }
     }
 
+    /** Guards against the JVM's own way with SIGHUP, which is to end, and against unusable files. */
+    @Test
+    void sighupBringsANewDiscoveryAndABadFileChangesNothing() throws Exception {
+        int port;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = unused.getLocalPort();
+        }
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream other = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream(StubUpstream.says(
+                        StubUpstream.answer("200 OK", "fine")))) {
+            String json = LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
+                    LoopbackNode.targets(upstream)).replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"");
+            Process process = serve(json);
+            try (TestClient client = connect(process, port)) {
+                while (TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")) != 200) {
+                    assertTrue(process.isAlive());
+                }
+                BufferedReader log = process.errorReader();
+                await(log, "serves at");
+                Files.writeString(folder.resolve("config.json"), json.substring(0, json.length() / 2));
+                hangUp(process);
+                await(log, "new configuration not used");
+                Files.writeString(folder.resolve("config.json"),
+                        json.replace(discovery.address(), other.address()).replace("\"n0\"", "\"n1\""));
+                hangUp(process);
+                await(log, "needs a restart to take effect: name");
+                assertTrue(other.nextRequest().startsWith("GET /registry/instances HTTP"));
+                assertEquals(200, TestClient.status(client.ask(TestClient.request("pay", "3.0"))));
+                hangUp(process);
+                process.destroy();
+                assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void await(BufferedReader log, String text) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "never logged: " + text);
+    }
+
     private static TestClient connect(Process process, int port) throws IOException {
         while (true) {
             try {
--- a/src/test/java/levergrade/node/UpstreamPoolTest.java
+++ b/src/test/java/levergrade/node/UpstreamPoolTest.java
@@ -8,14 +8,15 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -28,6 +29,9 @@
 class UpstreamPoolTest {
     private static final Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
 
+    private static final Supplier<FullHttpRequest> REQUEST = () -> new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
@@ -39,13 +43,16 @@
 
     private UpstreamPool pool(long idleMillis, int connections) {
         return new UpstreamPool(loop, TimeUnit.SECONDS.toNanos(1), TimeUnit.MILLISECONDS.toNanos(idleMillis),
-                connections);
+                TimeUnit.MILLISECONDS.toNanos(200), connections);
+    }
+
+    private static Endpoint endpoint(long id, StubUpstream upstream) {
+        return new Endpoint(id, Config.address(upstream.address()));
     }
 
     private UpstreamExchange start(UpstreamPool pool, StubUpstream upstream) throws Exception {
-        InetSocketAddress address = Config.address(upstream.address());
-        return loop.submit(() -> pool.start(address, () -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                HttpMethod.GET, "/"), results::add)).get();
+        Endpoint endpoint = endpoint(1, upstream);
+        return loop.submit(() -> pool.start(endpoint, REQUEST, results::add)).get();
     }
 
     private Result next() throws InterruptedException {
@@ -69,7 +76,7 @@
                 ask(pool, upstream);
             }
             assertEquals(1, upstream.accepted.size());
-            loop.execute(() -> pool.closeIdle(Config.address(upstream.address())));
+            loop.execute(() -> pool.closeIdle(endpoint(1, upstream)));
             upstream.awaitClosed();
             ask(pool, upstream);
             assertEquals(2, upstream.accepted.size());
@@ -121,6 +128,43 @@
         }
     }
 
+    /**
+     * Guards against a second copy of one answer, which the system holds unread, being taken for the next
+     * request's: it is written here while the loop is kept from reading.
+     */
+    @Test
+    void whatComesAfterAnAnswerWasReadDoesNotReachTheNextRequest() throws Exception {
+        Script next = StubUpstream.says(StubUpstream.answer("200 OK", "next"));
+        try (StubUpstream upstream = new StubUpstream(
+                StubUpstream.firstThen(new CountDownLatch(1), GOOD, next))) {
+            UpstreamPool pool = pool(10_000, 10);
+            assertEquals("fine", ask(pool, upstream));
+            loop.submit(() -> {
+                StubUpstream.write(upstream.accepted.element(), StubUpstream.answer("200 OK", "wrong"));
+                Thread.sleep(50);
+                return pool.start(endpoint(1, upstream), REQUEST, results::add);
+            }).get();
+            assertEquals("next", new String(next().body(), StandardCharsets.US_ASCII));
+        }
+    }
+
+    /** Guards against connections that pass from an upstream that has gone to one that has its address. */
+    @Test
+    void anUpstreamDoesNotInheritAnothersConnections() throws Exception {
+        try (StubUpstream upstream = new StubUpstream(GOOD)) {
+            UpstreamPool pool = pool(10_000, 10);
+            ask(pool, upstream);
+            loop.submit(() -> pool.start(endpoint(2, upstream), REQUEST, results::add)).get();
+            assertEquals(Outcome.OK, next().outcome());
+            assertEquals(2, upstream.accepted.size());
+            loop.submit(() -> pool.closeIdle(endpoint(1, upstream))).get();
+            upstream.awaitClosed();
+            loop.submit(() -> pool.start(endpoint(2, upstream), REQUEST, results::add)).get();
+            assertEquals(Outcome.OK, next().outcome());
+            assertEquals(2, upstream.accepted.size(), "the new one's connection was left alone");
+        }
+    }
+
     /** Guards against running out of descriptors: what can't be sent has never been sent. */
     @Test
     void overTheCapNothingIsSentUnlessAnIdleConnectionCanGo() throws Exception {
