Check the lines of a head before the decoder does

The trace of the first lost request shows its upstream's answer: "HTTP/1.1 200 OK", the line "no colon here", a length, a body. Netty takes such a line for a header without a value, and the body was served (UpstreamConnection.channelRead0 asks only decoderResult). Ruled out by the same trace: a second copy read as the next request's answer, no lost request showed one.

HeadLines checks every line of a head, both ways: a token and a colon, no folding, no control bytes, nothing ahead of it. An unreadable load report stays a good answer.

--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -313,10 +313,24 @@
 
     /** Reads strictly: what could be read in two ways might hide a second request. */
     private static final class Decoder extends HttpRequestDecoder {
+        private final HeadLines lines = new HeadLines(true);
+
         Decoder() {
             super(Framing.strict());
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (!lines.inOrder(in)) {
+                out.add(Framing.malformed(createInvalidMessage()));
+                in.skipBytes(in.readableBytes());
+                return;
+            }
+            int first = out.size();
+            super.decode(ctx, in, out);
+            lines.decoded(out, first);
+        }
+
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
--- a/src/main/java/levergrade/node/Framing.java
+++ b/src/main/java/levergrade/node/Framing.java
@@ -1,5 +1,6 @@
 package levergrade.node;
 
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -22,6 +23,12 @@
                 .setUseRfc9112TransferEncoding(true);
     }
 
+    /** Marks a message whose head is not in order. */
+    static HttpMessage malformed(HttpMessage message) {
+        message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("malformed head")));
+        return message;
+    }
+
     /** Whether there is one way to tell where this message ends: one plain length, or chunks alone. */
     static boolean isPlain(HttpMessage message) {
         HttpHeaders headers = message.headers();
--- a/src/main/java/levergrade/node/UpstreamConnection.java
+++ b/src/main/java/levergrade/node/UpstreamConnection.java
@@ -220,10 +220,24 @@
 
     /** Reads answers strictly and tells whether bytes of a further one are waiting. */
     private static final class Decoder extends HttpResponseDecoder {
+        private final HeadLines lines = new HeadLines(false);
+
         Decoder() {
             super(Framing.strict());
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (!lines.inOrder(in)) {
+                out.add(Framing.malformed(createInvalidMessage()));
+                in.skipBytes(in.readableBytes());
+                return;
+            }
+            int first = out.size();
+            super.decode(ctx, in, out);
+            lines.decoded(out, first);
+        }
+
         boolean holdsBytes() {
             return actualReadableBytes() > 0;
         }
--- a/src/test/java/levergrade/node/ClientServerTest.java
+++ b/src/test/java/levergrade/node/ClientServerTest.java
@@ -69,10 +69,14 @@
             "Transfer-Encoding : chunked\r\nContent-Length: 4", "Transfer-Encoding: \u000bchunked",
             "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "Transfer-Encoding: chunked, chunked",
             "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: xchunked",
+            " Content-Length: 4", "no colon here", "\u0000: x", ": x",
             "Content-Length : 4", "Content-Length: 4\n"}) {
             ends.put(good.replace("Content-Length: 4\r\n", framing + "\r\n"), 400);
         }
         ends.put(good.replace("\r\n", "\n"), 400);
+        ends.put("\u0000\u0001" + good, 400);
+        ends.put(good.replace(" HTTP/1.1", "\u0001 HTTP/1.1"), 400);
+        ends.put(good.replace("Host: ", "Host: \u0001"), 400);
         ends.put("GET /api HTTP/1.1\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n", 400);
         try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream)) {
             try (TestClient client = host.client()) {
@@ -96,6 +100,24 @@
         }
     }
 
+    /** Guards against a check of heads that depends on how the bytes arrive. */
+    @Test
+    void requestsAreReadWhereverTheyAreCut() throws Exception {
+        String chunked = TestClient.request("pay", "3.0").replace("Content-Length: 4\r\n\r\nbody",
+                "Transfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream);
+                TestClient client = host.client()) {
+            String both = "\r\n" + TestClient.request("pay", "3.0") + chunked;
+            for (char each : both.toCharArray()) {
+                client.send(String.valueOf(each));
+            }
+            for (int i = 0; i < 2; i++) {
+                assertEquals(200, TestClient.status(client.read()));
+                assertEquals("body", TestClient.body(upstream.nextRequest()));
+            }
+        }
+    }
+
     @Test
     void aBodyOfTheGreatestSizeIsTaken() throws Exception {
         String big = "x".repeat(64 * 1024);
--- a/src/test/java/levergrade/node/NodeTest.java
+++ b/src/test/java/levergrade/node/NodeTest.java
@@ -190,6 +190,28 @@
         }
     }
 
+    /** Guards against an answer served though no one can be sure what it says: it may have run. */
+    @Test
+    void anAnswerWhoseHeadIsNotInOrderIsNotServed() throws Exception {
+        for (String head : new String[] {"no colon here\r\n", " folded\r\n", "Bad Name: x\r\n",
+            "X-Bad : x\r\n", "X-Bare: x\n", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            once(StubUpstream.says("HTTP/1.1 200 OK\r\nX-Fine: x\r\n" + head
+                    + "Content-Length: 4\r\n\r\nfine"), "pay", 502, 1);
+        }
+        for (String ahead : new String[] {"\u0000", "\r\n", " "}) {
+            once(StubUpstream.says(ahead + StubUpstream.answer("200 OK", "fine")), "pay", 502, 1);
+        }
+    }
+
+    /** Guards against a good answer lost over a load report that no one can read. */
+    @Test
+    void aLoadReportThatCantBeReadSpoilsNothing() throws Exception {
+        for (String report : new String[] {"%%%", "=,=", "{\"", "rate=1e999,q=NaN", "TEXT \u00ff", ""}) {
+            once(StubUpstream.says(StubUpstream.answer("200 OK", "fine", "X-Load: " + report,
+                    "X-Load: rate=1,q=1")), "pay", 200, 1);
+        }
+    }
+
     /** Guards against memory and time spent on an answer that can't be served. */
     @Test
     void anAnswerThatIsTooLongIsGivenUpByItsHead() throws Exception {
