--- a/src/main/java/levergrade/node/Main.java
+++ b/src/main/java/levergrade/node/Main.java
@@ -1,6 +1,6 @@
 package levergrade.node;
 
-/** Entry point of the packaged jar: the real sidecar or the simulator's adapter. */
+/** Entry point of the packaged jar: the real sidecar, its warm-up alone, or the simulator's adapter. */
 public final class Main {
     private Main() { }
 
@@ -8,9 +8,10 @@
     public static void main(String[] args) {
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> Node.main();
+            case "warm-up" -> Node.warmUp();
             case "adapter" -> levergrade.adapter.Main.main();
             default -> {
-                System.err.println("usage: java -jar levergrade.jar serve|adapter");
+                System.err.println("usage: java -jar levergrade.jar serve|adapter|warm-up");
                 System.exit(2);
             }
         }
--- a/src/main/java/levergrade/node/Node.java
+++ b/src/main/java/levergrade/node/Node.java
@@ -41,20 +41,8 @@
     static void main() {
         Reload reload = new Reload();
         HangupSignal.handle(reload::requested);
-        Config config;
-        Path file;
-        try {
-            String named = System.getenv("BALANCER_CONFIG");
-            if (named == null || named.isEmpty()) {
-                throw new IllegalArgumentException("BALANCER_CONFIG is not set");
-            }
-            file = Path.of(named);
-            config = Config.read(file);
-        } catch (IOException | IllegalArgumentException e) {
-            System.err.println("levergrade: configuration: " + String.valueOf(e.getMessage()).split("\n")[0]);
-            System.exit(2);
-            return;
-        }
+        Path file = Path.of(System.getenv().getOrDefault("BALANCER_CONFIG", ""));
+        Config config = configuration(file);
         try {
             Node node = start(config);
             Runtime.getRuntime().addShutdownHook(new Thread(node::drainAndHalt, "drain"));
@@ -67,6 +55,34 @@
         }
     }
 
+    /**
+     * Only loads and runs what a start loads and runs: to archive the classes while building, since loading
+     * them is most of the time that a restart takes.
+     */
+    static void warmUp() {
+        Config config = configuration(Path.of(System.getenv().getOrDefault("BALANCER_CONFIG", "")));
+        try {
+            Node node = start(config);
+            node.close();
+        } catch (Exception e) {
+            System.err.println("levergrade: can't warm up: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            System.exit(1);
+        }
+    }
+
+    private static Config configuration(Path file) {
+        try {
+            if (file.toString().isEmpty()) {
+                throw new IllegalArgumentException("BALANCER_CONFIG is not set");
+            }
+            return Config.read(file);
+        } catch (IOException | IllegalArgumentException e) {
+            System.err.println("levergrade: configuration: " + String.valueOf(e.getMessage()).split("\n")[0]);
+            System.exit(2);
+            throw new IllegalStateException(e);
+        }
+    }
+
     static Node start(Config config) throws InterruptedException, ExecutionException {
         return start(config, ClientTimes.USUAL);
     }
