--- a/src/main/java/levergrade/node/WarmUp.java
+++ b/src/main/java/levergrade/node/WarmUp.java
@@ -39,7 +39,7 @@
  */
 final class WarmUp {
     /** Where the measured time of a request stops falling steeply. */
-    private static final int REQUESTS = 600;
+    private static final int REQUESTS = 250;
     /** A slow core goes into service less warm, but soon: a restart is waited for. */
     private static final long LONGEST_MILLIS = 1500;
     private static final int AT_ONCE = 4;
