Module: forget what has ended and what has gone; given-up work shuts an upstream for an aim

Checked and ruled out by a sampler of the loop's stack: CPU (the loop idles 83 % of the time there), memory, connects. The module's view second by second shows two causes: - Admission: held=97 of which live=21. A held request that ends stays in Share.held below a live one, so that "held > 0" sends every new request the long way; they pile up. - Admission.hasRoom: 3 to 5 of 8 upstreams with nothing in flight and as many ghosts as their limit, shut until a deadline of up to 1.5 s is over though their work took 0.1 s. Now ended requests leave at once, ghosts last an aim, and records of gone upstreams go with their last request in flight (Roster.listChanged; README had it as open).

--- a/src/main/java/levergrade/SymmetricRoundRobin.java
+++ b/src/main/java/levergrade/SymmetricRoundRobin.java
@@ -109,6 +109,16 @@
         alarms.flush();
     }
 
+    /** How many upstreams there is a record of: what must not grow as they come and go. */
+    int known() {
+        return roster.servers.size();
+    }
+
+    /** How many requests wait for room. */
+    int held() {
+        return Arrays.stream(admission.shares).mapToInt(share -> share.held.size()).sum();
+    }
+
     /** The order, the pointer and the pick. */
     private final class Pattern {
         private final List<Server> order = new ArrayList<>();
@@ -333,7 +343,7 @@
         void send(long now, Call call, Server server) {
             Attempt attempt = new Attempt(server, now);
             call.attempts.add(attempt);
-            call.held = false;
+            admission.release(call);
             server.coldCredit -= call.expected;
             server.inFlight++;
             actions.send(call.request.id(), server.id, 0);
@@ -395,7 +405,7 @@
                 actions.cancel(call.request.id(), call.attempts.size() - 1);
             }
             call.closed = true;
-            call.held = false;
+            admission.release(call);
             if (!call.waiting()) {
                 calls.remove(call.request.id());
             }
@@ -458,6 +468,8 @@
                 changed |= server.entry.state() == State.READY;
                 server.entry = server.entry.gone();
             }
+            // Danger: upstreams are replaced as long as the sidecar runs, and records of the gone would pile up.
+            servers.values().removeIf(s -> s.entry.state() == State.GONE && s.inFlight == 0);
             if (changed) {
                 ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
                 // Live weights are load reports, which have no say in turns.
@@ -833,6 +845,15 @@
             return true;
         }
 
+        /** Danger: what has ended below what waits would stay, be counted as held and pile up. */
+        void release(Call call) {
+            if (call.held) {
+                call.held = false;
+                share(call).held.remove(call);
+                held--;
+            }
+        }
+
         /** Gives freed room to held work, of the tenant that had the least of its quota first. */
         void drain(long now) {
             drains++;
@@ -844,12 +865,9 @@
                     return;
                 }
                 Call call = poorest.held.peek();
-                if (call.held && !place(now, call)) {
+                if (!place(now, call)) {
                     poorest.skippedAt = drains;
                     drainSoon(now, call);
-                } else {
-                    poorest.held.remove(call);
-                    held--;
                 }
             }
         }
@@ -857,7 +875,8 @@
         /**
          * Danger: work given up at its deadline may stay in the server's queue, and a count that forgets it
          * refills a full queue with work that will be given up too. Such ghosts count against the limit until
-         * the server answers something sent after them, or another deadline has passed.
+         * the server answers something sent after them, or another aim has passed: a server with all its
+         * room taken by ghosts gets nothing that it could answer, and stays shut for that long.
          */
         boolean hasRoom(long now, Server server) {
             if (server.ghosts > 0 && now >= server.ghostUntil) {
@@ -871,7 +890,7 @@
             if (outcome == Outcome.TIMEOUT || outcome == Outcome.CANCELLED) {
                 server.ghosts++;
                 server.ghostSent = Math.max(server.ghostSent, attempt.sentAt);
-                server.ghostUntil = now + call.kind.deadline();
+                server.ghostUntil = now + call.aim;
             } else if (outcome == Outcome.OK && attempt.sentAt >= server.ghostSent) {
                 server.ghosts = 0;
             }
