--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -38,7 +38,6 @@
  * once, for their time runs; the answers go out in the order of the requests.
  */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final System.Logger LOG = System.getLogger("levergrade");
     private static final String READY_PATH = "/health/ready";
     /**
      * Requests waiting for answers on one connection. Clients send one at a time; beyond this many the
@@ -276,7 +275,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            LOG.log(System.Logger.Level.ERROR, "a client's connection failed", cause);
+            server.failures().log("a client's connection failed", cause);
         }
         channel.close();
     }
--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -34,6 +34,7 @@
     private final ClientTimes times;
     private final Set<ClientConnection> connections = new HashSet<>();
     private final Future<?> sweeper;
+    private final FailureLog failures = new FailureLog();
     private Channel listener;
     private boolean warm;
     private boolean draining;
@@ -88,6 +89,10 @@
         return reader;
     }
 
+    FailureLog failures() {
+        return failures;
+    }
+
     boolean draining() {
         return draining;
     }
--- a/src/main/java/levergrade/node/Sidecar.java
+++ b/src/main/java/levergrade/node/Sidecar.java
@@ -61,6 +61,7 @@
     /** The clients' own ids of the requests that are open. */
     private final Set<String> names = new HashSet<>();
     private final Map<Long, Endpoint> endpoints = new HashMap<>();
+    private final FailureLog failures = new FailureLog();
     private Lists lists;
     private long lastId;
     private int open;
@@ -167,7 +168,7 @@
         try {
             event.run();
         } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "the decision module failed", e);
+            failures.log("the decision module failed", e);
         } finally {
             inModule = false;
         }
@@ -179,7 +180,7 @@
             try {
                 what.run();
             } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.ERROR, "a timer's task failed", e);
+                failures.log("a timer's task failed", e);
             }
         }, Math.max(0, at - clock.now()), TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/levergrade/node/UpstreamConnection.java
+++ b/src/main/java/levergrade/node/UpstreamConnection.java
@@ -28,7 +28,6 @@
 
 /** One connection to an upstream and the answer being read on it. */
 final class UpstreamConnection extends SimpleChannelInboundHandler<HttpObject> {
-    private static final System.Logger LOG = System.getLogger("levergrade");
     /** The protocol's limit of a body. */
     static final int MAX_BODY = 64 * 1024;
 
@@ -213,7 +212,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            LOG.log(System.Logger.Level.ERROR, "a connection to " + endpoint + " failed", cause);
+            pool.failures().log("a connection to " + endpoint + " failed", cause);
         }
         channel.close();
     }
--- a/src/main/java/levergrade/node/UpstreamPool.java
+++ b/src/main/java/levergrade/node/UpstreamPool.java
@@ -45,6 +45,7 @@
     private final int maxConnections;
     private final Map<Endpoint, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private final Future<?> sweeper;
+    private final FailureLog failures = new FailureLog();
     private int connections;
 
     UpstreamPool(EventLoop loop, long connectTimeout, long connIdle, long stall, int maxConnections) {
@@ -109,6 +110,10 @@
         return null;
     }
 
+    FailureLog failures() {
+        return failures;
+    }
+
     void release(UpstreamConnection connection) {
         idle.computeIfAbsent(connection.endpoint(), endpoint -> new ArrayDeque<>()).push(connection);
     }
--- /dev/null
+++ b/src/test/java/levergrade/node/FailureLogTest.java
@@ -0,0 +1,44 @@
+package levergrade.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.Test;
+
+class FailureLogTest {
+    /** Guards against a loop that writes logs in place of serving: a flood leaves a line a second. */
+    @Test
+    void aFloodOfFailuresIsOneLine() {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                if (line.getMessage().startsWith("flood")) {
+                    lines.add(line.getMessage());
+                }
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        };
+        Logger logger = Logger.getLogger("levergrade");
+        logger.addHandler(handler);
+        try {
+            FailureLog log = new FailureLog();
+            long start = System.nanoTime();
+            for (int i = 0; i < 1000; i++) {
+                log.log("flood", null);
+            }
+            assertEquals(1 + (System.nanoTime() - start) / 1_000_000_000, lines.size());
+        } finally {
+            logger.removeHandler(handler);
+        }
+    }
+}
