--- a/src/main/java/levergrade/node/FailureLog.java
+++ b/src/main/java/levergrade/node/FailureLog.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Logs failures with their causes, one a second at most. Danger: a flood of bad clients or upstreams can bring
- * about any number of them, and writing them all would take the loop's time.
+ * Logs failures with their causes, one a second at most. Danger: a flood of bad clients or upstreams can
+ * bring about any number of them, and writing them all would take the loop's time.
  */
 final class FailureLog {
     private static final System.Logger LOG = System.getLogger("levergrade");
@@ -19,7 +19,8 @@
             untold++;
             return;
         }
-        LOG.log(System.Logger.Level.ERROR, untold == 0 ? what : what + "; untold before it: " + untold, cause);
+        String told = untold == 0 ? what : what + "; untold before it: " + untold;
+        LOG.log(System.Logger.Level.ERROR, told, cause);
         last = now;
         untold = 0;
     }
