At the cap, answered connections go before ones that have not asked; a fifth more attempts

A count of answers and closed connections (not kept) shows the cap of 153 reached, and 1,044 connections in one second closed that had come an instant before: ClientConnection.spare put fresh ones ahead of those that had had an answer within 2 s, so a newcomer went first of all. Ruled out: upstreams (no connect failed, answers as quick as ever) and the module (no shedding). Now answered ones go first, the longest idle one before others; fresh ones are never closed to make room before they hesitate for 250 ms, accepting pauses instead and goes on as soon as an answer leaves a connection idle.

--- a/src/main/java/levergrade/SymmetricRoundRobin.java
+++ b/src/main/java/levergrade/SymmetricRoundRobin.java
@@ -763,7 +763,7 @@
         /** Sends a request now, or holds it while it can still be answered within its aim. */
         void admit(long now, Call call) {
             if (call.attempts.isEmpty()) {
-                retryTokens = Math.min(20, retryTokens + 0.1);  // a tenth more work, and a short burst
+                retryTokens = Math.min(20, retryTokens + 0.2);  // a fifth more work, and a short burst
                 health.noteTokens = Math.min(2, health.noteTokens + health.noteIncome);
             }
             if (now >= call.deadline || roster.ready.isEmpty() || shed(call)) {
--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -184,6 +184,7 @@
             }
             written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
         }
+        server.answered(this);
     }
 
     private void deafen() {
@@ -242,7 +243,8 @@
 
     /**
      * How readily it is closed to make room for another; 0 for not at all: a request is open or has begun to
-     * arrive, or the client may count on it. What has stood for longer goes first among equals.
+     * arrive, or is still to be expected as the first one, which the client would not send again. What has
+     * stood for longer goes first among equals.
      */
     int spare(long now) {
         long stood = TimeUnit.NANOSECONDS.toMillis(now - since);
@@ -253,9 +255,9 @@
             return 0;
         }
         if (asked) {
-            return stood >= ClientTimes.KEPT ? 2 : 0;
+            return stood >= ClientTimes.KEPT ? 2 : 1;
         }
-        return stood >= ClientTimes.HESITATES ? 3 : 1;
+        return stood >= ClientTimes.HESITATES ? 3 : 0;
     }
 
     long since() {
--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -99,10 +99,16 @@
 
     void opened(ClientConnection connection) {
         connections.add(connection);
+        makeRoom();
+        bound(connection);
+    }
+
+    /** Nothing may be open on it any more, so that it could make room for those that wait. */
+    void answered(ClientConnection connection) {
         if (connections.size() > maxConnections) {
             makeRoom();
+            bound(connection);
         }
-        bound(connection);
     }
 
     void closed(ClientConnection connection) {
@@ -118,6 +124,12 @@
 
     /** Danger: connections that say nothing, or no more, would shut those out that ask. */
     private void makeRoom() {
+        while (connections.size() > maxConnections && spareOne()) {
+            continue;
+        }
+    }
+
+    private boolean spareOne() {
         long now = System.nanoTime();
         ClientConnection spared = null;
         int most = 0;
@@ -132,6 +144,7 @@
             connections.remove(spared);
             spared.close();
         }
+        return spared != null;
     }
 
     private void sweep() {
@@ -139,9 +152,7 @@
         for (ClientConnection each : List.copyOf(connections)) {
             each.expire(now, times);
         }
-        if (connections.size() > maxConnections) {
-            makeRoom();
-        }
+        makeRoom();
     }
 
     /**
--- a/src/main/java/levergrade/node/ClientTimes.java
+++ b/src/main/java/levergrade/node/ClientTimes.java
@@ -13,7 +13,7 @@
      * that keeps its connection for longer between requests than this opens another one at little cost.
      */
     static final ClientTimes USUAL = new ClientTimes(2000, 2000, 15_000);
-    /** A connection on which nothing is open may be closed for another's sake after this. */
+    /** A connection on which nothing has been open for this long is closed for another before others. */
     static final long KEPT = 2000;
     /** A client that means to ask has done so long since. */
     static final long HESITATES = 250;
--- a/src/test/java/levergrade/SymmetricRoundRobinTest.java
+++ b/src/test/java/levergrade/SymmetricRoundRobinTest.java
@@ -511,6 +511,23 @@
         assertEquals(5, host.sends.get(out).request());
     }
 
+    /** Guards against a tenth of the attempts breaking, and no further ones left for a burst of them. */
+    @Test
+    void aFifthMoreAttemptsAreAllowedAndNoMore() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 20, 0, MS);
+        int again = 0;
+        for (int id = 100; id < 110; id++) {
+            host.request(id, 0);
+            host.outcome(host.last(), Outcome.RESET);
+            if (host.sendsOf(id).size() == 2) {
+                again++;
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+        assertTrue(again >= 6 && again <= 8, "one, and a fifth of thirty: " + again);
+    }
+
     /** Guards against held requests that have ended and pile up below those that wait. */
     @Test
     void heldRequestsThatHaveEndedAreForgotten() {
--- a/src/test/java/levergrade/node/ClientServerTest.java
+++ b/src/test/java/levergrade/node/ClientServerTest.java
@@ -224,6 +224,26 @@
         }
     }
 
+    /** Guards against newcomers turned away for the sake of connections that have just had their answer. */
+    @Test
+    void clientsThatAskOnceAndKeepTheirConnectionsShutNoOneOut() throws Exception {
+        List<TestClient> keeping = new ArrayList<>();
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream)) {
+            for (int i = 0; i < 500; i++) {
+                TestClient client = host.client();
+                keeping.add(client);
+                String answer = client.ask(READY);
+                assertTrue(answer != null, "turned away: " + i);
+                assertEquals(200, TestClient.status(answer));
+            }
+            assertNull(keeping.get(0).read(), "the longest idle one went");
+        } finally {
+            for (TestClient each : keeping) {
+                each.close();
+            }
+        }
+    }
+
     /** Guards against answers that go to the wrong one of two requests under one id. */
     @Test
     void theIdOfAnOpenRequestIsTurnedAway() throws Exception {
