--- a/src/main/java/levergrade/node/ClientConnection.java
+++ b/src/main/java/levergrade/node/ClientConnection.java
@@ -232,11 +232,11 @@
      * Ends what takes too long. Danger: connections left idle, or with a request that never ends, would use
      * the descriptors up; what keeps sending a byte now and then is no better.
      */
-    void expire(long now, ClientTimes times) {
+    void expire(long now, ClientTimes times, boolean crowded) {
         long stood = TimeUnit.NANOSECONDS.toMillis(now - since);
         if (reading && !deaf && stood >= times.request()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
-        } else if (idle() && stood >= (asked ? times.idle() : times.first())) {
+        } else if (idle() && stood >= (!asked ? times.first() : crowded ? times.kept() : times.idle())) {
             channel.close();
         }
     }
@@ -255,7 +255,7 @@
             return 0;
         }
         if (asked) {
-            return stood >= ClientTimes.KEPT ? 2 : 1;
+            return stood >= server.times().kept() ? 2 : 1;
         }
         return stood >= ClientTimes.HESITATES ? 3 : 0;
     }
--- a/src/main/java/levergrade/node/ClientServer.java
+++ b/src/main/java/levergrade/node/ClientServer.java
@@ -24,6 +24,8 @@
     private static final long SWEEP_MILLIS = 100;
     /** What is accepted between two looks at the connections there are; also what may come over the cap. */
     private static final int ACCEPTS_AT_ONCE = 4;
+    /** With more connections than this part of the cap, those that nothing is open on are let go soon. */
+    private static final double CROWDED_PART = 0.3;
     private static final int BACKLOG = 1024;
 
     private final EventLoop loop;
@@ -89,6 +91,10 @@
         return reader;
     }
 
+    ClientTimes times() {
+        return times;
+    }
+
     FailureLog failures() {
         return failures;
     }
@@ -149,8 +155,10 @@
 
     private void sweep() {
         long now = System.nanoTime();
+        // Danger: the application's descriptors are bounded too, and what it keeps it can't ask with.
+        boolean crowded = connections.size() > maxConnections * CROWDED_PART;
         for (ClientConnection each : List.copyOf(connections)) {
-            each.expire(now, times);
+            each.expire(now, times, crowded);
         }
         makeRoom();
     }
