An answer that grows too long is not served with a hole

Seen: a chunked answer above 64 KiB makes UpstreamConnection.channelRead0 close the channel and return, but Netty hands on all that the same read brought: a smaller chunk fits again, the last chunk completes the rest, and up to 64 KiB with a hole go out as a whole 200 (the rule on lost requests). Ruled out: the decoder (it gives the parts as they came) and the order of channelInactive. The same shape elsewhere: a head that can't be served could be followed by one that is taken for it; a client's connection that has been closed took what was read with it; discovery's aggregator closed on an answer too long and took the next one for it. Each now goes deaf when it closes.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -97,7 +97,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        if (deaf) {
+        // Danger: what was read together with something that closed it is handed on all the same.
+        if (deaf || !channel.isActive()) {
             return;
         }
         if (message.decoderResult().isFailure()) {
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -37,6 +37,8 @@
     private Outcome result;
     private HttpReply reply;
     private long idleSince;
+    /** What it carries can't be read on from: nothing that has been read with it, or comes yet, counts. */
+    private boolean broken;
 
     private UpstreamConnection(UpstreamPool pool, Channel channel, InputWatch input, Decoder decoder,
             long stall) {
@@ -115,9 +117,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (broken) {
+            return;
+        }
         if (exchange == null || result != null || message.decoderResult().isFailure()) {
             // Danger: bytes that belong to no request would be taken for the next one's answer.
-            channel.close();
+            breakOff();
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -126,7 +131,7 @@
                 return;
             }
             if (!canBeServed(response)) {
-                channel.close();
+                breakOff();
                 return;
             }
             head = response;
@@ -138,7 +143,7 @@
         }
         if (message instanceof HttpContent content && head != null) {
             if (body.readableBytes() + content.content().readableBytes() > Framing.MAX_BODY) {
-                channel.close();
+                breakOff();
                 return;
             }
             body.writeBytes(content.content());
@@ -150,6 +155,15 @@
         }
     }
 
+    /**
+     * Danger: closing is heard of only after all that was read at once has been handed on. A part left out for
+     * its size, with a smaller one and the end right behind it, would go out as a whole answer with a hole.
+     */
+    private void breakOff() {
+        broken = true;
+        channel.close();
+    }
+
     /** An answer that only the connection's end delimits can't be known to be whole. */
     private static boolean canBeServed(HttpResponse response) {
         boolean delimited = HttpUtil.isContentLengthSet(response)
--- a/sidecar/src/main/java/appleridge/membership/registry/RegistryConnection.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/RegistryConnection.java
@@ -149,7 +149,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            // Danger: closed alone, it would still take what was read with it, behind an answer too long.
+            end("an answer that can't be read: " + cause.getMessage());
         }
     }
 }
--- a/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
+++ b/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
@@ -235,6 +235,39 @@
         }
     }
 
+    /**
+     * Guards against an answer with a hole: the part that makes it too long is left out, and what was read
+     * together with it, which fits again, would complete the rest.
+     */
+    @Test
+    void anAnswerThatGrowsTooLongIsNotServedWithoutThePartThatWasTooMuch() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + chunk(Framing.MAX_BODY - 4) + chunk(10) + chunk(3) + "0\r\n\r\n";
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.says(answer))) {
+            UpstreamPool pool = pool(10_000, 10);
+            for (int i = 0; i < 10; i++) {
+                start(pool, upstream);
+                assertEquals(Outcome.RESET, next().outcome());
+            }
+        }
+    }
+
+    /** Guards against a head that was turned down being followed by another one that is taken for it. */
+    @Test
+    void whatFollowsAHeadThatCantBeServedIsNotItsAnswer() throws Exception {
+        String answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"
+                + chunk(4) + "0\r\n\r\n" + StubUpstream.answer("200 OK", "next");
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.says(answer))) {
+            UpstreamPool pool = pool(10_000, 10);
+            start(pool, upstream);
+            assertEquals(Outcome.RESET, next().outcome());
+        }
+    }
+
+    private static String chunk(int length) {
+        return Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n";
+    }
+
     /** Guards against running out of descriptors: what can't be sent has never been sent. */
     @Test
     void overTheCapNothingIsSentUnlessAnIdleConnectionCanGo() throws Exception {
