--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -35,6 +35,8 @@
     /** Used on the loop alone: the end was asked for, and nothing begins any more. */
     private boolean ending;
     private volatile boolean failed;
+    /** A field, and in no lambda: its class is loaded only where there is one. */
+    private HeldListener held;
     private InetSocketAddress address;
 
     private Serve() { }
@@ -58,7 +60,8 @@
         // Danger: from when it listens on clients connect and ask, long before it says that it is ready.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::drainAndHalt, "drain"));
         try {
-            serve.begin(config, tuning, held());
+            serve.held = held();
+            serve.begin(config, tuning);
             LOG.log(System.Logger.Level.INFO, config.name() + " serves at " + config.listen());
             reload.begin(serve, file, config);
         } catch (Exception e) {
@@ -114,7 +117,7 @@
 
     static Serve start(Config config, Tuning tuning) throws InterruptedException, ExecutionException {
         Serve serve = new Serve();
-        serve.begin(config, tuning, null);
+        serve.begin(config, tuning);
         return serve;
     }
 
@@ -124,18 +127,16 @@
         return descriptor == null || descriptor.isBlank() ? null : HeldListener.inherited(descriptor);
     }
 
-    private void begin(Config config, Tuning tuning, HeldListener held)
-            throws InterruptedException, ExecutionException {
+    private void begin(Config config, Tuning tuning) throws InterruptedException, ExecutionException {
         Loop loop = loop(group.next(), System.Logger.Level.INFO);
         Sockets sockets = new NioSockets();
-        ChannelFuture listening = group.submit(() -> listen(loop, sockets, config, tuning, held)).get();
+        ChannelFuture listening = group.submit(() -> listen(loop, sockets, config, tuning)).get();
         address = (InetSocketAddress) listening.sync().channel().localAddress();
         WarmUp.run(loop(group.next(), System.Logger.Level.DEBUG), sockets, config);
         loop.soon(node::warm);
     }
 
-    private ChannelFuture listen(Loop loop, Sockets sockets, Config config, Tuning tuning,
-            HeldListener held) {
+    private ChannelFuture listen(Loop loop, Sockets sockets, Config config, Tuning tuning) {
         if (ending) {
             throw new IllegalStateException("ended before it began");
         }
