Operators call a sidecar: upstreams out and back, its status, its figures

SUSPEND lays a drain over whatever the list says, as news to the decision module, so that the picking, what waits for a connection and idle connections go by what there is; RESTORE brings a cold one back unless its start proves otherwise. Off without admin: none of its classes is loaded (ServeIT). AcceptFailures moved to transport, which both fronts use.

--- a/sidecar/src/main/java/appleridge/config/Config.java
+++ b/sidecar/src/main/java/appleridge/config/Config.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 /**
  * What a sidecar is told at its start, validated.
@@ -22,11 +23,12 @@
  * @param tenants names of the tenants, as clients send them
  * @param connIdle nanoseconds after which an upstream closes an idle connection
  * @param maxOpen requests that may be open at once
+ * @param admin where operators call; null for nowhere
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, JsonNode known,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> kinds, long connIdle, int maxOpen) {
+        List<String> kinds, long connIdle, int maxOpen, InetSocketAddress admin) {
     private static final int LEAST_SOCKETS = 64;
 
     /** Reads a configuration file's text; what is missing or senseless is told by an exception's message. */
@@ -65,7 +67,14 @@
                 address(text(root, "discovery")), seed(text(root, "seed")), sockets, root.get("known"),
                 parsed, names(settings.path("profiles")),
                 names(settings.path("parties")), strings(settings.path("zones")),
-                strings(settings.path("kinds")), connIdle, maxOpen);
+                strings(settings.path("kinds")), connIdle, maxOpen,
+                root.path("admin").asText("").isEmpty() ? null : address(root.path("admin").asText()));
+    }
+
+    /** The same with operators calling elsewhere. */
+    public Config withAdmin(InetSocketAddress other) {
+        return new Config(name, listen, discovery, seed, sockets, known, settings, classes, tenants, zones,
+                kinds, connIdle, maxOpen, other);
     }
 
     /** What differs in another configuration and can't be taken over while the sidecar runs. */
@@ -73,6 +82,7 @@
         Map<String, Boolean> same = new LinkedHashMap<>();
         same.put("name", name.equals(other.name));
         same.put("listen", listen.equals(other.listen));
+        same.put("admin", Objects.equals(admin, other.admin));
         same.put("limits", sockets == other.sockets);
         same.put("settings", settings.equals(other.settings) && classes.equals(other.classes)
                 && tenants.equals(other.tenants) && zones.equals(other.zones) && kinds.equals(other.kinds)
--- a/sidecar/src/main/java/appleridge/daemon/Node.java
+++ b/sidecar/src/main/java/appleridge/daemon/Node.java
@@ -22,6 +22,8 @@
     private final Directory directory;
     private final ListSource source;
     private final ChannelFuture listening;
+    /** What operators may ask; null where they have no way to. */
+    private final OperatorsDesk operators;
 
     /** Begins to listen and to follow the list; it is not ready before {@link #warm()}. */
     public Node(Loop loop, Sockets sockets, Config config, Tuning tuning, ModuleFactory module) {
@@ -36,14 +38,23 @@
                 (int) (config.sockets() * tuning.upstreamsPart())), tuning.times(), module);
         this.directory = new Directory(loop::place);
         this.source = tuning.source().make(loop, sockets, config, this::told);
-        Directory.News known = directory.news(ListKind.CACHED, source.begin());
+        this.operators = config.admin() == null ? null
+                : new OperatorsDesk(loop, sockets, config, service, this::told);
+        Directory.News known = over(directory.news(ListKind.CACHED, source.begin()));
         service.exchanges.start(source, known.entries(), known.addresses());
         this.listening = held == null ? service.server.listen(config.listen()) : service.server.listen(held);
     }
 
     private void told(ListKind kind, List<Member> members) {
-        Directory.News news = directory.news(kind, members);
-        service.exchanges.listChanged(kind, news.entries(), news.addresses());
+        told(over(directory.news(kind, members)));
+    }
+
+    private Directory.News over(Directory.News news) {
+        return operators == null ? news : operators.over(news);
+    }
+
+    private void told(Directory.News news) {
+        service.exchanges.listChanged(news.kind(), news.entries(), news.addresses());
     }
 
     /** Done when it listens or can't. On any thread. */
@@ -68,6 +79,9 @@
 
     /** Ends at once, whatever is open. */
     public void close() {
+        if (operators != null) {
+            operators.close();
+        }
         source.close();
         service.close();
     }
--- a/sidecar/src/main/java/appleridge/daemon/Reload.java
+++ b/sidecar/src/main/java/appleridge/daemon/Reload.java
@@ -60,7 +60,7 @@
         }
         Config next;
         try {
-            next = Config.parse(Files.readAllBytes(file));
+            next = Serve.withAdmin(Config.parse(Files.readAllBytes(file)));
         } catch (IOException | RuntimeException e) {
             LOG.log(System.Logger.Level.WARNING, "new configuration not used: "
                     + String.valueOf(e.getMessage()).split("\n")[0]);
--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -97,7 +97,7 @@
             if (file.toString().isEmpty()) {
                 throw new IllegalArgumentException("BALANCER_CONFIG is not set");
             }
-            return Config.parse(Files.readAllBytes(file));
+            return withAdmin(Config.parse(Files.readAllBytes(file)));
         } catch (IOException | IllegalArgumentException e) {
             System.err.println("appleridge: configuration: " + String.valueOf(e.getMessage()).split("\n")[0]);
             System.exit(2);
@@ -105,6 +105,13 @@
         }
     }
 
+    /** Where operators call, if the platform tells it beside the configuration. */
+    static Config withAdmin(Config config) {
+        String told = System.getenv("BALANCER_ADMIN");
+        boolean used = config.admin() == null && told != null && !told.isBlank();
+        return used ? config.withAdmin(Config.address(told.strip())) : config;
+    }
+
     private static Tuning tuning(Path operator) {
         try {
             return OperatorStart.tuning(operator);
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -61,6 +61,7 @@
     private long beat;
     private long stoodStillUntil;
     private long endsAt = Long.MAX_VALUE;
+    private Tally tally = Tally.NONE;
 
     /**
      * Makes the module that it hosts.
@@ -153,6 +154,11 @@
         return !ready.isEmpty();
     }
 
+    /** How many upstreams are ready as far as is known. */
+    public int ready() {
+        return ready.size();
+    }
+
     /** The longest that a client waits, in nanoseconds. */
     public long longestDeadline() {
         return settings.classes().stream().mapToLong(RequestClass::deadline).max().orElseThrow();
@@ -163,6 +169,16 @@
         endsAt = at;
     }
 
+    /** From now on it is counted here what becomes of requests. */
+    public void tally(Tally counts) {
+        tally = counts;
+    }
+
+    /** Where it is counted. */
+    public Tally tally() {
+        return tally;
+    }
+
     /** What is open. */
     public Books books() {
         return new Books(open, out, calls.size(), names.size());
@@ -207,13 +223,16 @@
     /** Takes a request over; what is returned is to be run when its client leaves. */
     public Runnable accept(ClientRequest request, Front client) {
         beat();
+        tally.taken(request.requestClass());
         if (open >= maxOpen) {
             // Nothing was sent for it, so that a repeat is harmless.
+            tally.ended(request.requestClass(), Tally.End.REFUSED);
             client.refused(0);
             return () -> { };
         }
         // Danger: two requests under one id are one to an upstream, and an answer could go to either.
         if (!names.add(request.name())) {
+            tally.ended(request.requestClass(), Tally.End.FAILED);
             client.failed(Front.Cause.ID_IN_USE);
             return () -> { };
         }
@@ -266,7 +285,7 @@
     private void hangUp(Call call) {
         beat();
         if (!call.over) {
-            end(call);
+            end(call, Tally.End.LEFT);
             tell(() -> balancer.hangup(time.now(), call.id));
         }
     }
@@ -311,6 +330,7 @@
             timers.soon(() -> ended(attempt, Outcome.NEVER_SENT, null));
             return;
         }
+        tally.sent(call.request.requestClass(), attempt.number > 0);
         attempt.sending = upstreams.send(endpoint, call.request.message(), attempt.window, (outcome,
                 reply) -> {
             beat();
@@ -367,7 +387,7 @@
         Call call = attempt.call;
         call.last = outcome;
         if (outcome == Outcome.OK && !call.over) {
-            end(call);
+            end(call, Tally.End.SERVED);
             give(call, () -> call.client.served(reply));
         }
         float[] load = reply == null ? NO_LOAD : reply.load(settings.reportFields());
@@ -393,14 +413,15 @@
 
     private void fail(Call call, Front.Cause cause) {
         if (!call.over) {
-            end(call);
+            end(call, Tally.End.FAILED);
             give(call, () -> call.client.failed(cause));
         }
     }
 
     /** The request is over: nothing more is sent for it. */
-    private void end(Call call) {
+    private void end(Call call, Tally.End how) {
         call.over = true;
+        tally.ended(call.request.requestClass(), how);
         names.remove(call.request.name());
         call.backstop.cancel();
         open--;
@@ -417,7 +438,7 @@
     public void refuse(long request, long wait) {
         Call call = calls.get(request);
         if (call != null && !call.over) {
-            end(call);
+            end(call, Tally.End.REFUSED);
             give(call, () -> call.client.refused(settings.allowed().retryAfter() ? wait : 0));
         }
     }
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/exchange/Tally.java
@@ -0,0 +1,31 @@
+package appleridge.exchange;
+
+/** Counts what becomes of requests; each thing is told in one place, once. */
+public interface Tally {
+    /** Where nobody asks. */
+    Tally NONE = new Tally() { };
+
+    /** How a request that was taken has ended. */
+    enum End {
+        /** With an upstream's good answer. */
+        SERVED,
+        /** Not done, and asking again is harmless. */
+        REFUSED,
+        /** With no promise about effects. */
+        FAILED,
+        /** Its client left first. */
+        LEFT
+    }
+
+    /** A request has been taken. */
+    default void taken(int requestClass) { }
+
+    /** A request that was taken has ended. */
+    default void ended(int requestClass, End how) { }
+
+    /** An attempt goes to an upstream; {@code further} where it is not the request's first. */
+    default void sent(int requestClass, boolean further) { }
+
+    /** What came made no sense and was turned away as that. */
+    default void malformed() { }
+}
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -176,6 +176,7 @@
                 exchange.hangUp = server.exchanges().accept(read, exchange);
             }
         } catch (BadRequest e) {
+            server.exchanges().tally().malformed();
             exchange.say(e.status(), e.getMessage(), e.allowed());
         }
     }
@@ -200,6 +201,9 @@
 
     /** Answers what can't be read on from, after the answers still owed, and closes. */
     private void reject(HttpResponseStatus status, String why) {
+        if (!turnedAway) {
+            server.exchanges().tally().malformed();
+        }
         deafen();
         head = null;
         Exchange exchange = new Exchange(false);
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -3,6 +3,7 @@
 import appleridge.exchange.Exchanges;
 import appleridge.exchange.Log;
 import appleridge.exchange.Timers;
+import appleridge.transport.AcceptFailures;
 import appleridge.transport.HeldListener;
 import appleridge.transport.Loop;
 import appleridge.transport.Sockets;
@@ -124,7 +125,8 @@
         warm = true;
     }
 
-    boolean ready() {
+    /** Whether it can serve: warm, with a list to use, and not about to end. */
+    public boolean ready() {
         return warm && !draining && exchanges.hasUsableList();
     }
 
--- a/sidecar/src/main/java/appleridge/membership/Directory.java
+++ b/sidecar/src/main/java/appleridge/membership/Directory.java
@@ -18,8 +18,9 @@
  * for each start, one upstream at an address. Keeps nothing of who is listed no more.
  */
 public final class Directory {
-    /** News of the list as the module takes it, and where its upstreams listen. */
-    public record News(ListKind kind, List<Upstream> entries, Map<Long, InetSocketAddress> addresses) { }
+    /** News of the list as the module takes it, where its upstreams listen, and their ids in the list. */
+    public record News(ListKind kind, List<Upstream> entries, Map<Long, InetSocketAddress> addresses,
+            Map<Long, String> ids) { }
 
     private final UpstreamNumbers numbers = new UpstreamNumbers();
     private final StartTimes starts;
@@ -44,11 +45,13 @@
         }
         List<Upstream> entries = new ArrayList<>();
         Map<Long, InetSocketAddress> addresses = new HashMap<>();
+        Map<Long, String> ids = new HashMap<>();
         for (Member member : settled(members).values()) {
             long number = numbers.of(member.id());
             entries.add(new Upstream(number, member.zone(), member.kind(), member.cell(), member.state(),
                     member.weight(), starts.of(member.id(), member.startedMillis())));
             addresses.put(number, member.address());
+            ids.put(number, member.id());
         }
         for (Member member : members) {
             if (member.state() == State.GONE) {
@@ -57,7 +60,7 @@
                 known.remove(member.id());
             }
         }
-        return new News(kind, entries, addresses);
+        return new News(kind, entries, addresses, ids);
     }
 
     /** The members, and as gone those whose address another one has taken. */
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/operators/Maintenance.java
@@ -0,0 +1,122 @@
+package appleridge.operators;
+
+import appleridge.decision.Balancer.ListKind;
+import appleridge.decision.Balancer.State;
+import appleridge.decision.Balancer.Upstream;
+import appleridge.membership.Directory.News;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Lays the operator's word over the list. An upstream that is called out drains for the decision module,
+ * whatever the list says of it: gone, listed again, with another start or address. Called back, it is what
+ * the list says, but for its start. All news of the list goes through here, and what an operator says comes
+ * out as news of its own, so that the module decides as ever.
+ *
+ * <p>Times are nanoseconds on the clock on which upstreams' starts are placed.
+ */
+public final class Maintenance {
+    /** Upstreams that may be out at once; each is a word of an operator, and ids may be long gone. */
+    static final int MOST = 4096;
+
+    private record Listed(Upstream entry, InetSocketAddress address) { }
+
+    private final long rampTime;
+    /** What the list says, by id. */
+    private final Map<String, Listed> listed = new HashMap<>();
+    /** Who is out, and since when. */
+    private final Map<String, Long> out = new LinkedHashMap<>();
+    /** When who was called back, for as long as that can matter. */
+    private final Map<String, Long> back = new HashMap<>();
+
+    /** With the nanoseconds for which an upstream that has started is cold. */
+    public Maintenance(long rampTime) {
+        this.rampTime = rampTime;
+    }
+
+    /** What an operator's word comes to. */
+    public sealed interface Effect permits Done, Denied { }
+
+    /** It holds from now on; the news are to be told before anything else is decided. Null for none. */
+    public record Done(News news) implements Effect { }
+
+    /** Nothing has changed. */
+    public record Denied(String why) implements Effect { }
+
+    /** News of the list, as they are with the operator's word laid over them. */
+    public News over(News news, long now) {
+        back.values().removeIf(at -> now - at > rampTime);
+        if (news.kind() == ListKind.FULL || news.kind() == ListKind.CACHED) {
+            listed.clear();
+        }
+        List<Upstream> entries = new ArrayList<>(news.entries().size());
+        for (Upstream entry : news.entries()) {
+            String id = news.ids().get(entry.id());
+            if (entry.state() == State.GONE) {
+                listed.remove(id);
+            } else {
+                listed.put(id, new Listed(entry, news.addresses().get(entry.id())));
+            }
+            entries.add(over(id, entry));
+        }
+        return new News(news.kind(), entries, news.addresses(), news.ids());
+    }
+
+    /** Calls an upstream out: nothing new goes to it. Calls on one that is out already change nothing. */
+    public Effect suspend(String id, long now) {
+        Listed its = listed.get(id);
+        if (its == null && !out.containsKey(id)) {
+            return new Denied("unknown upstream");
+        }
+        if (out.size() >= MOST && !out.containsKey(id)) {
+            return new Denied("too many are out");
+        }
+        return new Done(out.putIfAbsent(id, now) == null ? news(id) : null);
+    }
+
+    /** Calls an upstream back, however often it was called out. */
+    public Effect restore(String id, long now) {
+        Long since = out.remove(id);
+        if (since == null) {
+            return listed.containsKey(id) ? new Done(null) : new Denied("unknown upstream");
+        }
+        Listed its = listed.get(id);
+        // Danger: it may have been made anew meanwhile, and the list be late to tell. Only a start within the
+        // time in which it was out is certain to be the last one.
+        if (its == null || its.entry.startedAt() < since) {
+            back.put(id, now);
+        }
+        return new Done(news(id));
+    }
+
+    /** Who is out, and since when. */
+    public Map<String, Long> out() {
+        return Map.copyOf(out);
+    }
+
+    /** Whether an upstream is out. */
+    public boolean isOut(String id) {
+        return out.containsKey(id);
+    }
+
+    private News news(String id) {
+        Listed its = listed.get(id);
+        if (its == null) {
+            return null;
+        }
+        long number = its.entry.id();
+        return new News(ListKind.DELTA, List.of(over(id, its.entry)), Map.of(number, its.address),
+                Map.of(number, id));
+    }
+
+    private Upstream over(String id, Upstream entry) {
+        State state = entry.state() == State.READY && out.containsKey(id) ? State.DRAINING : entry.state();
+        long started = Math.max(entry.startedAt(), back.getOrDefault(id, 0L));
+        return new Upstream(entry.id(), entry.zone(), entry.kind(), entry.cell(), state, entry.weight(),
+                started);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/operators/line/package-info.java
@@ -0,0 +1,2 @@
+/** The front of the operators' calls: one line a connection. */
+package appleridge.operators.line;
--- a/sidecar/src/main/java/appleridge/http1/AcceptFailures.java
+++ b/sidecar/src/main/java/appleridge/transport/AcceptFailures.java
@@ -1,6 +1,5 @@
-package appleridge.http1;
+package appleridge.transport;
 
-import appleridge.transport.Loop;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
@@ -9,7 +8,7 @@
  * Hears on the listening channel that accepting failed. It goes no further: Netty's own part would let all
  * wait for a second and accept again then, whatever the cap, and log each failure with its trace.
  */
-final class AcceptFailures extends ChannelInboundHandlerAdapter {
+public final class AcceptFailures extends ChannelInboundHandlerAdapter {
     private static final long APART = TimeUnit.SECONDS.toNanos(1);
 
     private final Loop loop;
@@ -17,7 +16,8 @@
     private long told;
     private int untold;
 
-    AcceptFailures(Loop loop, Runnable failed) {
+    /** With what is to be done about it. */
+    public AcceptFailures(Loop loop, Runnable failed) {
         this.loop = loop;
         this.failed = failed;
         this.told = loop.now() - APART;
--- a/sidecar/src/test/java/appleridge/ArchitectureTest.java
+++ b/sidecar/src/test/java/appleridge/ArchitectureTest.java
@@ -59,6 +59,8 @@
                 .check(PRODUCT);
         only("appleridge.membership.nodes", PURE.or(rooms("appleridge.decision", "appleridge.membership")))
                 .check(PRODUCT);
+        only("appleridge.operators", PURE.or(rooms("appleridge.decision", "appleridge.exchange",
+                "appleridge.membership"))).check(PRODUCT);
         only("appleridge.config", PURE.or(rooms("appleridge.decision", "com.fasterxml.jackson..")))
                 .check(PRODUCT);
     }
@@ -71,6 +73,7 @@
         only("appleridge.http1", below).check(PRODUCT);
         only("appleridge.membership.registry", below.or(rooms("appleridge.membership",
                 "com.fasterxml.jackson.."))).check(PRODUCT);
+        only("appleridge.operators.line", below.or(rooms("appleridge.operators"))).check(PRODUCT);
         only("appleridge.transport", rooms("java..", "io.netty..", "appleridge.exchange")).check(PRODUCT);
         only("appleridge.adapter", rooms("java..", "appleridge.decision",
                 "appleridge.config")).check(PRODUCT);
--- a/sidecar/src/test/java/appleridge/daemon/LoopbackNode.java
+++ b/sidecar/src/test/java/appleridge/daemon/LoopbackNode.java
@@ -61,13 +61,18 @@
     }
 
     public LoopbackNode(Figures figures, String... targets) throws Exception {
+        this(figures, null, targets);
+    }
+
+    /** The same; operators call at an address, or nowhere if that is null. */
+    public LoopbackNode(Figures figures, InetSocketAddress admin, String... targets) throws Exception {
         String json = json(figures, discovery.address(), targets);
-        Config config = Config.parse(new ObjectMapper().readTree(json));
+        Config config = Config.parse(new ObjectMapper().readTree(json)).withAdmin(admin);
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         node = Serve.start(new Config(config.name(), anyPort, config.discovery(), config.seed(),
                 config.sockets(), config.known(), config.settings(),
                 config.classes(), config.tenants(), config.zones(), config.kinds(), config.connIdle(),
-                config.maxOpen()), Tuning.USUAL.with(figures.times));
+                config.maxOpen(), config.admin()), Tuning.USUAL.with(figures.times));
     }
 
     public static String json(Figures figures, String discovery, String... targets) {
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -73,7 +73,8 @@
         assertFalse(loaded.contains("dataformat.toml"));
         for (String off : new String[] {"appleridge.membership.nodes", "appleridge.membership.zookeeper",
             "appleridge.membership.register", "appleridge.daemon.NodeLists", "appleridge.daemon.NodesStart",
-            "zookeeper", "org.slf4j", "appleridge.transport.HeldListener"}) {
+            "zookeeper", "org.slf4j", "appleridge.transport.HeldListener",
+            "appleridge.operators", "appleridge.daemon.OperatorsDesk"}) {
             assertFalse(loaded.contains(off), off);
         }
     }
