Two processes on one socket know of each other, and count as one sidecar

Need: a second process beside the first took work while it was cold, used all the budgets again, and knew nothing of what an operator had told the first. Locks in the folder that both have tell who lives; states beside them, versioned, checked and moved into place, tell phase and operators' words. Overlap decides who accepts and what each may use; of two words the later one counts, and a yes waits until the other process has had time to read it. Measured: HeldListenerIT passes with real processes (words over an upgrade, told to either; a kill right after the yes; a torn state; three replacements under six clients). ServeIT no longer depends on who ignores SIGHUP: a full build under nohup had failed two of its tests, one because the new warning came before the plain line about a bad configuration.

--- a/sidecar/src/main/java/appleridge/daemon/Node.java
+++ b/sidecar/src/main/java/appleridge/daemon/Node.java
@@ -3,6 +3,9 @@
 import appleridge.config.Config;
 import appleridge.decision.Balancer.ListKind;
 import appleridge.exchange.Books;
+import appleridge.handover.Overlap;
+import appleridge.handover.Phase;
+import appleridge.handover.Word;
 import appleridge.membership.Directory;
 import appleridge.membership.ListSource;
 import appleridge.membership.Member;
@@ -24,25 +27,64 @@
     private final ChannelFuture listening;
     /** What operators may ask; null where they have no way to. */
     private final OperatorsDesk operators;
+    /** Null where the sidecar is one process. */
+    private final Handover handover;
 
     /** Begins to listen and to follow the list; it is not ready before {@link #warm()}. */
     public Node(Loop loop, Sockets sockets, Config config, Tuning tuning, ModuleFactory module) {
-        this(loop, sockets, config, tuning, module, null);
+        this(loop, sockets, config, tuning, module, null, null);
     }
 
-    /** The same; with the listening socket that the platform holds, or null where it listens itself. */
-    public Node(Loop loop, Sockets sockets, Config config, Tuning tuning, ModuleFactory module,
-            HeldListener held) {
+    /**
+     * The same; with the listening socket that the platform holds, and what is known of other processes of
+     * this sidecar that have it. Null where it listens itself.
+     */
+    Node(Loop loop, Sockets sockets, Config config, Tuning tuning, ModuleFactory module,
+            HeldListener held, Handover handover) {
+        this.handover = handover;
         this.service = new Service(loop, sockets, config, new Service.Size(
                 (int) (config.sockets() * tuning.clientsPart()),
                 (int) (config.sockets() * tuning.upstreamsPart())), tuning.times(), module);
         this.directory = new Directory(loop::place);
         this.source = tuning.source().make(loop, sockets, config, this::told);
         this.operators = config.admin() == null ? null
-                : new OperatorsDesk(loop, sockets, config, service, this::told);
+                : new OperatorsDesk(loop, sockets, config, service, this::told, this::keep);
+        if (handover != null) {
+            hear(handover.words());
+        }
         Directory.News known = over(directory.news(ListKind.CACHED, source.begin()));
         service.exchanges.start(source, known.entries(), known.addresses());
-        this.listening = held == null ? service.server.listen(config.listen()) : service.server.listen(held);
+        this.listening = held == null ? service.server.listen(config.listen())
+                : service.server.listen(held, handover == null || handover.overlap().accepts());
+        if (handover != null) {
+            handover.attach(loop, this);
+        }
+    }
+
+    private void keep(Runnable then) {
+        if (handover == null) {
+            then.run();
+        } else {
+            handover.keep(then);
+        }
+    }
+
+    /** What it may use beside other processes of its sidecar. */
+    void share(Overlap overlap) {
+        service.server.share(overlap.accepts(), overlap.part());
+        service.pool.share(overlap.part());
+    }
+
+    /** What operators have told others. */
+    void hear(List<Word> words) {
+        if (operators != null) {
+            operators.hear(words);
+        }
+    }
+
+    /** What operators have told this one. */
+    List<Word> words() {
+        return operators == null ? List.of() : operators.words();
     }
 
     private void told(ListKind kind, List<Member> members) {
@@ -65,6 +107,9 @@
     /** From now on it says that it is ready, if it has a list to use. */
     public void warm() {
         service.server.warm();
+        if (handover != null) {
+            handover.phase(Phase.SERVING);
+        }
     }
 
     /** Goes over to another discovery; requests go on untouched. */
@@ -75,6 +120,9 @@
     /** Ends the service in order: see {@link appleridge.http1.ClientServer#drain}. */
     public void drain(Runnable drained) {
         service.server.drain(drained);
+        if (handover != null) {
+            handover.phase(Phase.ENDING);
+        }
     }
 
     /** Ends at once, whatever is open. */
--- a/sidecar/src/main/java/appleridge/daemon/OperatorsDesk.java
+++ b/sidecar/src/main/java/appleridge/daemon/OperatorsDesk.java
@@ -1,6 +1,7 @@
 package appleridge.daemon;
 
 import appleridge.config.Config;
+import appleridge.handover.Word;
 import appleridge.membership.Directory;
 import appleridge.operators.Answers;
 import appleridge.operators.Figures;
@@ -8,6 +9,7 @@
 import appleridge.operators.line.OperatorsLine;
 import appleridge.transport.Loop;
 import appleridge.transport.Sockets;
+import java.util.List;
 import java.util.function.Consumer;
 
 /** What operators may ask of one sidecar, put together; made only where they have a way to ask. */
@@ -17,8 +19,9 @@
     private final OperatorsLine line;
     private final Consumer<Directory.News> told;
 
-    /** With who is told what an operator's word makes of the list. */
-    OperatorsDesk(Loop loop, Sockets sockets, Config config, Service service, Consumer<Directory.News> told) {
+    /** With who is told what an operator's word makes of the list, and what keeps such words. */
+    OperatorsDesk(Loop loop, Sockets sockets, Config config, Service service, Consumer<Directory.News> told,
+            Consumer<Runnable> keeping) {
         this.loop = loop;
         this.told = told;
         this.maintenance = new Maintenance(config.settings().limits().rampTime());
@@ -32,7 +35,7 @@
                 .gauge("heap_used_bytes", OperatorsDesk::heapUsed);
         service.exchanges.tally(figures);
         this.line = new OperatorsLine(loop, sockets, config.admin(), new Answers(service.server::ready,
-                figures::text, this::suspend, this::restore));
+                figures::text, this::suspend, this::restore, keeping));
         line.open();
     }
 
@@ -60,6 +63,15 @@
         return effect;
     }
 
+    /** What operators have told another process of this sidecar. */
+    void hear(List<Word> words) {
+        maintenance.hear(words, loop.now()).forEach(told);
+    }
+
+    List<Word> words() {
+        return maintenance.words();
+    }
+
     void close() {
         line.close();
     }
--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -37,6 +37,8 @@
     private volatile boolean failed;
     /** A field, and in no lambda: its class is loaded only where there is one. */
     private HeldListener held;
+    /** As above. */
+    private Handover handover;
     private InetSocketAddress address;
 
     private Serve() { }
@@ -45,10 +47,7 @@
     static void main(Path operator) {
         logging();
         Reload reload = new Reload();
-        if (!HangupSignal.handle(reload::requested)) {
-            LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored by who started this process: a new "
-                    + "configuration needs a restart");
-        }
+        boolean hearsHangup = HangupSignal.handle(reload::requested);
         Path file = Path.of(System.getenv().getOrDefault("BALANCER_CONFIG", ""));
         Config config = configuration(file);
         Tuning tuning = Tuning.USUAL;
@@ -60,10 +59,14 @@
         // Danger: from when it listens on clients connect and ask, long before it says that it is ready.
         Runtime.getRuntime().addShutdownHook(new Thread(serve::drainAndHalt, "drain"));
         try {
-            serve.held = held();
+            serve.takeOver(config);
             serve.begin(config, tuning);
             LOG.log(System.Logger.Level.INFO, config.name() + " serves at " + config.listen());
             reload.begin(serve, file, config);
+            if (!hearsHangup) {
+                LOG.log(System.Logger.Level.WARNING, "SIGHUP is ignored by who started this process: a new "
+                        + "configuration needs a restart");
+            }
         } catch (Exception e) {
             // Also the checked ones that Netty throws undeclared, such as an address in use.
             serve.failed = true;
@@ -128,10 +131,18 @@
         return serve;
     }
 
-    /** The listening socket that the platform holds, where it says so; else null. */
-    private static HeldListener held() throws IOException {
+    /** The listening socket that the platform holds, where it says so, and who else has it. */
+    private void takeOver(Config config) throws IOException {
         String descriptor = System.getenv("BALANCER_LISTEN_FD");
-        return descriptor == null || descriptor.isBlank() ? null : HeldListener.inherited(descriptor);
+        if (descriptor == null || descriptor.isBlank()) {
+            return;
+        }
+        String folder = System.getenv("TMPDIR");
+        if (folder != null && !folder.isBlank()) {
+            String name = config.name().replaceAll("[^A-Za-z0-9]", "_");
+            handover = Handover.begin(Path.of(folder, "appleridge-" + name));
+        }
+        held = HeldListener.inherited(descriptor, handover != null && handover.isBesideAnother());
     }
 
     private void begin(Config config, Tuning tuning) throws InterruptedException, ExecutionException {
@@ -147,7 +158,7 @@
         if (ending) {
             throw new IllegalStateException("ended before it began");
         }
-        node = new Node(loop, sockets, config, tuning, SymmetricRoundRobin::new, held);
+        node = new Node(loop, sockets, config, tuning, SymmetricRoundRobin::new, held, handover);
         return node.listening();
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/handover/ProcessState.java
@@ -0,0 +1,17 @@
+package appleridge.handover;
+
+import java.util.List;
+
+/**
+ * What one process tells the others of its sidecar.
+ *
+ * @param words what operators have said, one of an upstream at most
+ */
+public record ProcessState(Phase phase, List<Word> words) {
+    /** Words that are told at most. */
+    public static final int MOST_WORDS = 8192;
+
+    public ProcessState {
+        words = List.copyOf(words);
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/handover/package-info.java
@@ -0,0 +1,2 @@
+/** Two processes that count as one sidecar: what each may use, and what they tell one another; pure. */
+package appleridge.handover;
--- a/sidecar/src/main/java/appleridge/http1/Backlog.java
+++ b/sidecar/src/main/java/appleridge/http1/Backlog.java
@@ -31,6 +31,7 @@
     private int tells;
     private boolean ends;
     private boolean stopped;
+    private boolean waits;
     private long accepted;
     private long roomAt;
 
@@ -65,7 +66,12 @@
 
     /** Accepts if there is reason to, and else lets wait. */
     void accept() {
-        listener.config().setAutoRead(!stopped && (looking ? tells > 0 : room.getAsBoolean()));
+        listener.config().setAutoRead(!stopped && !waits && (looking ? tells > 0 : room.getAsBoolean()));
+    }
+
+    /** Whether nothing is accepted for now, for another process does. */
+    void waits(boolean forNow) {
+        waits = forNow;
     }
 
     /** Accepts no more, and leaves the listening socket as it is: what waits there is another process's. */
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -58,6 +58,8 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Timers.Timer sweeper;
     private final Backlog backlog;
+    /** Of those, what it may hold now. */
+    private int most;
     private Channel listener;
     /** The listening socket is the platform's: another process may accept from it, now or later. */
     private boolean held;
@@ -77,6 +79,7 @@
         this.exchanges = exchanges;
         this.reader = reader;
         this.maxConnections = maxConnections;
+        this.most = maxConnections;
         this.backlog = new Backlog(loop, maxConnections, this::hasRoom);
         this.sweeper = loop.every(millis(SWEEP_MILLIS), this::sweep);
     }
@@ -86,9 +89,13 @@
         return accept(bootstrap().channelFactory(sockets::listening).bind(address));
     }
 
-    /** Accepts from a socket that the platform holds, which goes on when this server ends. */
-    public ChannelFuture listen(HeldListener socket) {
+    /**
+     * Accepts from a socket that the platform holds, which goes on when this server ends; at once, or when it
+     * is told to by {@link #share}.
+     */
+    public ChannelFuture listen(HeldListener socket, boolean now) {
         held = true;
+        backlog.waits(!now);
         return accept(socket.register(bootstrap()));
     }
 
@@ -109,6 +116,7 @@
     private ChannelFuture accept(ChannelFuture listening) {
         listener = listening.channel();
         backlog.listener(listener);
+        backlog.accept();
         if (!(listening.isDone() && !listening.isSuccess())) {
             listener.config().<MaxMessagesRecvByteBufAllocator>getRecvByteBufAllocator()
                     .maxMessagesPerRead(ACCEPTS_AT_ONCE);
@@ -125,6 +133,19 @@
         warm = true;
     }
 
+    /**
+     * What it may use beside another process of this sidecar.
+     *
+     * @param accepts whether it takes new connections
+     * @param part of the connections that it may hold alone
+     */
+    public void share(boolean accepts, double part) {
+        most = Math.max(1, (int) (maxConnections * part));
+        makeRoom();
+        backlog.waits(!accepts);
+        backlog.changed();
+    }
+
     /** Whether it can serve: warm, with a list to use, and not about to end. */
     public boolean ready() {
         return warm && !draining && exchanges.hasUsableList();
@@ -167,7 +188,7 @@
 
     /** Nothing may be open on it any more, so that it could make room for those that wait. */
     void answered(ClientConnection connection) {
-        if (connections.size() > maxConnections) {
+        if (connections.size() > most) {
             makeRoom();
             bound(connection);
         }
@@ -181,10 +202,10 @@
      * clients than are kept ask now and then, each has to connect anew.
      */
     private void boundKept() {
-        int most = (int) (maxConnections * KEPT_PART);
-        if (connections.size() > most && !closing) {
+        int keptAtMost = (int) (most * KEPT_PART);
+        if (connections.size() > keptAtMost && !closing) {
             List<ClientConnection> kept = connections.stream().filter(ClientConnection::kept).toList();
-            if (kept.size() > most) {
+            if (kept.size() > keptAtMost) {
                 closing(kept.stream().min((a, b) -> Long.signum(a.since() - b.since()))
                         .orElseThrow()::closeIfIdle);
             }
@@ -232,7 +253,7 @@
     }
 
     private boolean hasRoom() {
-        return connections.size() <= maxConnections;
+        return connections.size() <= most;
     }
 
     /**
@@ -254,9 +275,9 @@
 
     /** Danger: connections that say nothing, or no more, would shut those out that ask. */
     private void makeRoom() {
-        if (!closing && connections.size() > maxConnections) {
+        if (!closing && connections.size() > most) {
             closing(() -> {
-                while (connections.size() > maxConnections && spareOne()) {
+                while (connections.size() > most && spareOne()) {
                     continue;
                 }
             });
--- a/sidecar/src/main/java/appleridge/http1/UpstreamPool.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamPool.java
@@ -32,6 +32,8 @@
     private final int maxConnections;
     private final Map<Endpoint, ArrayDeque<UpstreamConnection>> idle = new HashMap<>();
     private final Loop.Timer sweeper;
+    /** Of those, what it may hold now. */
+    private int most;
     private int connections;
 
     /**
@@ -47,6 +49,7 @@
         this.sockets = sockets;
         this.maxIdle = (long) (connIdle * IDLE_PART);
         this.maxConnections = maxConnections;
+        this.most = maxConnections;
         this.connector = new Connector(loop, sockets, connectTimeout,
                 channel -> UpstreamConnection.install(channel, this, stall));
         this.sweeper = loop.every(Math.max(1, maxIdle / 8), this::closeStale);
@@ -59,7 +62,7 @@
         UpstreamConnection pooled = takeIdle(to);
         if (pooled != null) {
             carry(pooled, exchange);
-        } else if (connections >= maxConnections && !evictIdle()) {
+        } else if (connections >= most && !evictIdle()) {
             loop.soon(() -> exchange.end(Outcome.NEVER_SENT, null));
         } else {
             connect(to, exchange);
@@ -132,6 +135,14 @@
         sockets.readNow(channel);
     }
 
+    /** What it may use beside another process of this sidecar, of the connections that it may hold alone. */
+    public void share(double part) {
+        most = Math.max(1, (int) (maxConnections * part));
+        while (connections > most && evictIdle()) {
+            continue;
+        }
+    }
+
     /** Connections there are or that are being opened. */
     public int connections() {
         return connections;
--- a/sidecar/src/main/java/appleridge/operators/Answers.java
+++ b/sidecar/src/main/java/appleridge/operators/Answers.java
@@ -1,6 +1,7 @@
 package appleridge.operators;
 
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 
@@ -11,27 +12,27 @@
  * @param figures its figures as text, with an end of line after each
  * @param suspend calls an upstream out; what it gives back has been carried out
  * @param restore calls it back
+ * @param keeping runs what it is given when what was carried out is kept, also beyond this process
  */
 public record Answers(BooleanSupplier serves, Supplier<String> figures,
-        Function<String, Maintenance.Effect> suspend, Function<String, Maintenance.Effect> restore) {
+        Function<String, Maintenance.Effect> suspend, Function<String, Maintenance.Effect> restore,
+        Consumer<Runnable> keeping) {
     private static final String YES = "YES\n";
 
-    /** The answer to one line; its effect holds when this returns. */
-    public String to(byte[] line) {
+    /** Answers one line; its effect holds when this returns, and is kept when the answer is given. */
+    public void to(byte[] line, Consumer<String> answer) {
         Call call = Call.read(line);
         if (call instanceof Call.Status) {
-            return serves.getAsBoolean() ? YES : no("not ready");
+            answer.accept(serves.getAsBoolean() ? YES : no("not ready"));
+        } else if (call instanceof Call.Metrics) {
+            answer.accept(figures.get());
+        } else if (call instanceof Call.Suspend asked) {
+            told(suspend.apply(asked.id()), answer);
+        } else if (call instanceof Call.Restore asked) {
+            told(restore.apply(asked.id()), answer);
+        } else {
+            answer.accept(no(((Call.Unreadable) call).why()));
         }
-        if (call instanceof Call.Metrics) {
-            return figures.get();
-        }
-        if (call instanceof Call.Suspend asked) {
-            return told(suspend.apply(asked.id()));
-        }
-        if (call instanceof Call.Restore asked) {
-            return told(restore.apply(asked.id()));
-        }
-        return no(((Call.Unreadable) call).why());
     }
 
     /** No, with the reason in a few words. */
@@ -39,7 +40,11 @@
         return "NO " + why + "\n";
     }
 
-    private static String told(Maintenance.Effect effect) {
-        return effect instanceof Maintenance.Denied denied ? no(denied.why()) : YES;
+    private void told(Maintenance.Effect effect, Consumer<String> answer) {
+        if (effect instanceof Maintenance.Denied denied) {
+            answer.accept(no(denied.why()));
+        } else {
+            keeping.accept(() -> answer.accept(YES));
+        }
     }
 }
--- a/sidecar/src/main/java/appleridge/operators/Maintenance.java
+++ b/sidecar/src/main/java/appleridge/operators/Maintenance.java
@@ -3,6 +3,7 @@
 import appleridge.decision.Balancer.ListKind;
 import appleridge.decision.Balancer.State;
 import appleridge.decision.Balancer.Upstream;
+import appleridge.handover.Word;
 import appleridge.membership.Directory.News;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Lays the operator's word over the list. An upstream that is called out drains for the decision module,
@@ -25,6 +27,9 @@
 
     private record Listed(Upstream entry, InetSocketAddress address) { }
 
+    /** For so long a word that calls back is told to other processes, in nanoseconds. */
+    private static final long TOLD = TimeUnit.MINUTES.toNanos(1);
+
     private final long rampTime;
     /** What the list says, by id. */
     private final Map<String, Listed> listed = new HashMap<>();
@@ -32,6 +37,8 @@
     private final Map<String, Long> out = new LinkedHashMap<>();
     /** When who was called back, for as long as that can matter. */
     private final Map<String, Long> back = new HashMap<>();
+    /** The last word of each who is out, or was until lately. */
+    private final Map<String, Word> said = new LinkedHashMap<>();
 
     /** With the nanoseconds for which an upstream that has started is cold. */
     public Maintenance(long rampTime) {
@@ -49,7 +56,7 @@
 
     /** News of the list, as they are with the operator's word laid over them. */
     public News over(News news, long now) {
-        back.values().removeIf(at -> now - at > rampTime);
+        forget(now);
         if (news.kind() == ListKind.FULL || news.kind() == ListKind.CACHED) {
             listed.clear();
         }
@@ -75,22 +82,67 @@
         if (out.size() >= MOST && !out.containsKey(id)) {
             return new Denied("too many are out");
         }
-        return new Done(out.putIfAbsent(id, now) == null ? news(id) : null);
+        return new Done(suspended(id, now));
+    }
+
+    private News suspended(String id, long at) {
+        said.put(id, new Word(id, true, at));
+        return out.putIfAbsent(id, at) == null ? news(id) : null;
     }
 
     /** Calls an upstream back, however often it was called out. */
     public Effect restore(String id, long now) {
+        forget(now);
+        boolean held = out.containsKey(id) || listed.containsKey(id);
+        return held ? new Done(restored(id, now)) : new Denied("unknown upstream");
+    }
+
+    private News restored(String id, long now) {
         Long since = out.remove(id);
         if (since == null) {
-            return listed.containsKey(id) ? new Done(null) : new Denied("unknown upstream");
+            return null;
         }
+        said.put(id, new Word(id, false, now));
         Listed its = listed.get(id);
         // Danger: it may have been made anew meanwhile, and the list be late to tell. Only a start within the
         // time in which it was out is certain to be the last one.
         if (its == null || its.entry.startedAt() < since) {
             back.put(id, now);
         }
-        return new Done(news(id));
+        return news(id);
+    }
+
+    /**
+     * What operators have told another process of this sidecar; of two words the later one counts.
+     *
+     * @return the news that are to be told
+     */
+    public List<News> hear(List<Word> words, long now) {
+        forget(now);
+        List<News> all = new ArrayList<>();
+        for (Word word : words) {
+            Word last = said.get(word.id());
+            boolean fresh = last == null ? word.out() ? out.size() < MOST : now - word.at() <= TOLD
+                    : word.at() > last.at();
+            if (fresh) {
+                News news = word.out() ? suspended(word.id(), word.at()) : restored(word.id(), word.at());
+                if (news != null) {
+                    all.add(news);
+                }
+            }
+        }
+        return all;
+    }
+
+    /** What operators have said, for other processes of this sidecar. */
+    public List<Word> words() {
+        return List.copyOf(said.values());
+    }
+
+    /** Danger: words pile up as long as the sidecar runs; those that call back matter for a while only. */
+    private void forget(long now) {
+        back.values().removeIf(at -> now - at > rampTime);
+        said.values().removeIf(word -> !word.out() && now - word.at() > TOLD);
     }
 
     /** Who is out, and since when. */
--- a/sidecar/src/main/java/appleridge/operators/line/Caller.java
+++ b/sidecar/src/main/java/appleridge/operators/line/Caller.java
@@ -99,7 +99,8 @@
         int length = said.length > 0 && said[said.length - 1] == '\r' ? said.length - 1 : said.length;
         byte[] text = new byte[length];
         System.arraycopy(said, 0, text, 0, length);
-        answer(line.answers().to(text));
+        answered = true;
+        line.answers().to(text, this::answer);
     }
 
     private void answer(String text) {
--- a/sidecar/src/main/java/appleridge/transport/HeldListener.java
+++ b/sidecar/src/main/java/appleridge/transport/HeldListener.java
@@ -35,9 +35,10 @@
      * Takes the socket over that the process was started with.
      *
      * @param descriptor its number as the platform tells it; the JVM knows 0 alone
+     * @param proven whether another process is known to accept from it, so that nothing need be taken here
      * @throws IOException with a plain message where there is no listening TCP socket at that number
      */
-    public static HeldListener inherited(String descriptor) throws IOException {
+    public static HeldListener inherited(String descriptor, boolean proven) throws IOException {
         if (!descriptor.strip().equals(DESCRIPTOR)) {
             throw new IOException("the listening socket must be descriptor 0, not '" + descriptor + "'");
         }
@@ -45,12 +46,12 @@
                 || !(inherited.getLocalAddress() instanceof InetSocketAddress)) {
             throw new IOException("descriptor 0 is no TCP socket that listens");
         }
-        return of(inherited);
+        inherited.configureBlocking(false);
+        return proven ? new HeldListener(inherited, null) : of(inherited);
     }
 
     /** For a socket that is bound already; tells by an exception that it doesn't listen. */
-    static HeldListener of(ServerSocketChannel socket) throws IOException {
-        socket.configureBlocking(false);
+    private static HeldListener of(ServerSocketChannel socket) throws IOException {
         try {
             // The JVM takes any unconnected socket for one that listens; only accepting tells.
             return new HeldListener(socket, socket.accept());
--- a/sidecar/src/test/java/appleridge/ArchitectureTest.java
+++ b/sidecar/src/test/java/appleridge/ArchitectureTest.java
@@ -59,8 +59,9 @@
                 .check(PRODUCT);
         only("appleridge.membership.nodes", PURE.or(rooms("appleridge.decision", "appleridge.membership")))
                 .check(PRODUCT);
+        only("appleridge.handover", PURE).check(PRODUCT);
         only("appleridge.operators", PURE.or(rooms("appleridge.decision", "appleridge.exchange",
-                "appleridge.membership"))).check(PRODUCT);
+                "appleridge.membership", "appleridge.handover"))).check(PRODUCT);
         only("appleridge.config", PURE.or(rooms("appleridge.decision", "com.fasterxml.jackson..")))
                 .check(PRODUCT);
     }
--- a/sidecar/src/test/java/appleridge/daemon/HeldListenerIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/HeldListenerIT.java
@@ -5,6 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +23,8 @@
 /** The packaged jar with a listening socket that the platform holds; processes replaced under load. */
 @Timeout(180)
 class HeldListenerIT {
-    private static final int UPGRADES = 3;
+    /** More of them are a measurement: -Dupgrades=50. */
+    private static final int UPGRADES = Integer.getInteger("upgrades", 3);
     private static final int CLIENTS = 6;
 
     @TempDir
@@ -160,6 +166,96 @@
         }
     }
 
+    private static String call(int port, String line) throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+            StubUpstream.write(socket, line + "\n");
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static int port() throws IOException {
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return unused.getLocalPort();
+        }
+    }
+
+    private static String withAdmin(String json, int port) {
+        return json.replaceFirst("\\{", "{\"admin\":\"127.0.0.1:" + port + "\",");
+    }
+
+    /**
+     * Guards against an operator's word that is lost with the process it was told to, or heeded by one only;
+     * also where that process is killed right after its yes.
+     */
+    @Test
+    void whatIsSuspendedStaysSoOverAnUpgradeWhicheverProcessWasTold() throws Exception {
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream a = new StubUpstream(StubUpstream.says(StubUpstream.answer("200 OK", "fine")));
+                StubUpstream b = new StubUpstream(StubUpstream.says(StubUpstream.answer("200 OK", "fine")));
+                HoldingPlatform platform = new HoldingPlatform(folder)) {
+            String json = json(discovery, a, b);
+            int first = port();
+            HoldingPlatform.Sidecar old = platform.start(withAdmin(json, first), "0");
+            old.awaitLog("serves at");
+            assertEquals("YES\n", call(first, "SUSPEND u0"));
+            int second = port();
+            HoldingPlatform.Sidecar next = platform.start(withAdmin(json, second), "0");
+            next.awaitLog("serves at");
+            next.awaitLog("another process of this sidecar is there");
+            old.awaitLog("another process of this sidecar is there");
+            int seen = a.requests.size();
+            try (Load load = new Load(platform)) {
+                load.awaitMore(100);
+                assertEquals(seen, a.requests.size(), "neither of the two sends to who is out");
+                assertEquals("YES\n", call(second, "RESTORE u0"));
+                assertEquals("YES\n", call(first, "SUSPEND u1"));
+                int told = b.requests.size();
+                load.awaitMore(100);
+                // What was on its way at the yes may have been read after it.
+                assertTrue(b.requests.size() - told <= CLIENTS, "told to one, heeded by both");
+                assertTrue(a.requests.size() > seen, "called back");
+                old.signal("KILL");
+                assertEquals(9, old.end());
+                next.awaitLog("alone again");
+                int after = b.requests.size();
+                load.end();
+                assertTrue(b.requests.size() - after <= CLIENTS);
+            }
+            assertEquals(200, TestClient.status(ask(platform)));
+            assertTrue(call(second, "METRICS").contains("upstreams_suspended 1"));
+            next.signal("TERM");
+            assertEquals(0, next.end(), next.log());
+        }
+    }
+
+    private static String ask(HoldingPlatform platform) throws IOException {
+        try (TestClient client = new TestClient(platform.address())) {
+            return client.ask(TestClient.request("pay", "3.0"));
+        }
+    }
+
+    /** Guards against a start that fails, or believes noise, because of what another one has left. */
+    @Test
+    void aTornStateIsRefusedOnceAndTheStartGoesOn() throws Exception {
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream(StubUpstream.says(
+                        StubUpstream.answer("200 OK", "fine")));
+                HoldingPlatform platform = new HoldingPlatform(folder)) {
+            HoldingPlatform.Sidecar old = platform.start(json(discovery, upstream), "0");
+            old.awaitLog("serves at");
+            Files.writeString(platform.sharedFolder().resolve("slot-0.state"), "appleridge-state 9\nnoise");
+            HoldingPlatform.Sidecar next = platform.start(json(discovery, upstream), "0");
+            next.awaitLog("another process's state is not used");
+            next.awaitLog("serves at");
+            old.signal("TERM");
+            assertEquals(0, old.end(), old.log());
+            assertEquals(200, TestClient.status(ask(platform)));
+            next.signal("TERM");
+            assertEquals(0, next.end(), next.log());
+        }
+    }
+
     /** Guards against an answer that is cut off because the process that owes it is told to end. */
     @Test
     void whatIsHeldAtSigtermIsAnsweredAndToldToClose() throws Exception {
--- a/sidecar/src/test/java/appleridge/daemon/HoldingPlatform.java
+++ b/sidecar/src/test/java/appleridge/daemon/HoldingPlatform.java
@@ -102,6 +102,11 @@
         }
     }
 
+    /** The folder that all of them have to tell one another by. */
+    Path sharedFolder() {
+        return folder.resolve("appleridge-n0");
+    }
+
     /** Starts one with a configuration; the listening socket's number is told as given. */
     Sidecar start(String config, String descriptor) throws IOException {
         Path file = Files.createTempFile(folder, "config", ".json");
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -29,7 +29,8 @@
     private Path folder;
 
     private Process serve(String config) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder(
+        // SIGHUP as usual, also where the build was started by who ignores it.
+        ProcessBuilder builder = new ProcessBuilder("perl", "-e", "$SIG{HUP} = 'DEFAULT'; exec @ARGV",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
                 "-jar", "target/appleridge.jar", "serve");
         builder.environment().remove("BALANCER_CONFIG");
@@ -74,7 +75,8 @@
         for (String off : new String[] {"appleridge.membership.nodes", "appleridge.membership.zookeeper",
             "appleridge.membership.register", "appleridge.daemon.NodeLists", "appleridge.daemon.NodesStart",
             "zookeeper", "org.slf4j", "appleridge.transport.HeldListener",
-            "appleridge.operators", "appleridge.daemon.OperatorsDesk"}) {
+            "appleridge.operators", "appleridge.daemon.OperatorsDesk", "appleridge.handover",
+            "appleridge.daemon.Handover"}) {
             assertFalse(loaded.contains(off), off);
         }
     }
@@ -247,7 +249,6 @@
             try {
                 BufferedReader log = process.errorReader();
                 await(log, "SIGHUP is ignored");
-                await(log, "serves at");
                 hangUp(process);
                 process.destroy();
                 assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
--- /dev/null
+++ b/sidecar/src/test/java/appleridge/handover/file/SlotsTest.java
@@ -0,0 +1,73 @@
+package appleridge.handover.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import appleridge.handover.Phase;
+import appleridge.handover.ProcessState;
+import appleridge.handover.Word;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The folder by which processes know of each other; locks between real processes are HeldListenerIT's. */
+@Timeout(60)
+class SlotsTest {
+    private static final ProcessState STATE = new ProcessState(Phase.SERVING,
+            List.of(new Word("s-5be2a07c", true, 1_700_000_000_000_000_000L), new Word("b", false, 7)));
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void whatIsWrittenIsRead() throws Exception {
+        assertEquals(STATE, StateFile.read(StateFile.write(STATE)));
+        ProcessState empty = new ProcessState(Phase.STARTING, List.of());
+        assertEquals(empty, StateFile.read(StateFile.write(empty)));
+    }
+
+    /** Guards against half a file, another version's or noise being taken for word of the other process. */
+    @Test
+    void whatIsTornOrForeignIsRefused() throws Exception {
+        byte[] whole = StateFile.write(STATE);
+        for (int length = 0; length < whole.length; length++) {
+            byte[] torn = Arrays.copyOf(whole, length);
+            assertThrows(IOException.class, () -> StateFile.read(torn), "cut at " + length);
+        }
+        Random random = new Random(3);
+        for (int i = 0; i < 2000; i++) {
+            byte[] wrong = whole.clone();
+            wrong[random.nextInt(wrong.length)] ^= (byte) (1 + random.nextInt(255));
+            try {
+                assertEquals(STATE, StateFile.read(wrong), "only what says the same may be taken");
+            } catch (IOException e) {
+                assertTrue(e.getMessage() != null);
+            }
+        }
+        assertThrows(IOException.class, () -> StateFile.read("appleridge-state 2 0\nSERVING\n".getBytes()));
+    }
+
+    @Test
+    void aFolderWithForeignFilesIsNoHindranceAndIsToldOfOnce() throws Exception {
+        List<String> warnings = new ArrayList<>();
+        try (Slots slots = Slots.take(folder, warnings::add)) {
+            slots.tell(STATE);
+            assertEquals(List.of(), slots.others(), "the own state is not another's");
+            Files.writeString(folder.resolve("slot-2.state"), "noise");
+            assertEquals(List.of(), slots.others(), "nobody holds that slot");
+            assertEquals(List.of(), warnings);
+        }
+        try (Slots again = Slots.take(folder, warnings::add)) {
+            assertEquals(List.of(), again.others());
+            assertTrue(Files.notExists(folder.resolve("slot-0.state")), "who had the slot is no more");
+        }
+    }
+}
--- a/sidecar/src/test/java/appleridge/operators/AnswersTest.java
+++ b/sidecar/src/test/java/appleridge/operators/AnswersTest.java
@@ -14,7 +14,7 @@
     private final List<String> effects = new ArrayList<>();
     private boolean serves = true;
     private final Answers answers = new Answers(() -> serves, () -> "figures\n", id -> effect("out " + id),
-            id -> effect("back " + id));
+            id -> effect("back " + id), Runnable::run);
 
     private Maintenance.Effect effect(String what) {
         effects.add(what);
@@ -23,7 +23,14 @@
     }
 
     private String ask(String line) {
-        return answers.to(line.getBytes(StandardCharsets.ISO_8859_1));
+        return to(line.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private String to(byte[] line) {
+        List<String> told = new ArrayList<>();
+        answers.to(line, told::add);
+        assertEquals(1, told.size());
+        return told.get(0);
     }
 
     @Test
@@ -64,7 +71,7 @@
         for (int i = 0; i < 20_000; i++) {
             byte[] line = new byte[random.nextInt(40)];
             random.nextBytes(line);
-            String answer = answers.to(line);
+            String answer = to(line);
             assertTrue(answer.matches("(YES|NO [ -~]+|figures)\n"), answer);
         }
     }
