Requests of 64 KiB to 32 MiB are passed on as they come, once

Need: bodies of up to 32 MB, many at once; beyond 64 KiB they were refused. A longer one is taken when 64 KiB have come and goes on as its server reads. From its first byte it can't be sent again: the module is told by firstByte, and the client hears what is proven of the one attempt (never ran before the last byte, else failed). Its time runs from its last byte; before that a client that stops for 2 s or sends under 60 kB/s gets 408, a server that reads nothing for 10 s is given up.

--- a/sidecar/src/main/java/appleridge/exchange/ClientRequest.java
+++ b/sidecar/src/main/java/appleridge/exchange/ClientRequest.java
@@ -12,4 +12,9 @@
  * @param message what is to be sent on
  */
 public record ClientRequest(String name, long arrived, long patience, int requestClass, int tenant, long key,
-        long costHint, boolean retry, Outgoing message) { }
+        long costHint, boolean retry, Outgoing message) {
+    /** The same with something else to be sent on. */
+    public ClientRequest with(Outgoing other) {
+        return new ClientRequest(name, arrived, patience, requestClass, tenant, key, costHint, retry, other);
+    }
+}
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -279,6 +279,7 @@
     private void giveUp(Call call) {
         beat();
         fail(call, Front.Cause.LATE);
+        callOffWhatTheModuleLeaves(call);
         tell(() -> balancer.hangup(time.now(), call.id));
     }
 
@@ -286,9 +287,7 @@
         beat();
         if (!call.over) {
             end(call, Tally.End.LEFT);
-            if (call.answering != null) {
-                callOff(call, call.answering);
-            }
+            callOffWhatTheModuleLeaves(call);
             tell(() -> balancer.hangup(time.now(), call.id));
         }
     }
@@ -342,6 +341,18 @@
                         return begun(attempt, answer);
                     }
 
+                    @Override
+                    public void letGo() {
+                        beat();
+                        Exchanges.this.letGo(attempt);
+                    }
+
+                    @Override
+                    public void committed() {
+                        beat();
+                        timeRuns(attempt);
+                    }
+
                     @Override
                     public void ended(Outcome outcome, Reply reply) {
                         beat();
@@ -400,17 +411,45 @@
             return false;
         }
         call.answering = attempt;
+        timeStops(call, attempt);
+        call.attempts.stream().filter(other -> other != attempt).forEach(other -> callOff(call, other));
+        give(call, () -> call.client.flows(answer));
+        tellBegun(call, attempt);
+        return true;
+    }
+
+    private void timeStops(Call call, Attempt attempt) {
         call.backstop.cancel();
         if (attempt.timer != null) {
             attempt.timer.cancel();
         }
-        call.attempts.stream().filter(other -> other != attempt).forEach(other -> callOff(call, other));
-        give(call, () -> call.client.flows(answer));
+    }
+
+    /** The module is told of what can't be taken back: nothing else can be tried any more. */
+    private void tellBegun(Call call, Attempt attempt) {
         tell(() -> {
             long now = time.now();
             balancer.firstByte(now, call.id, attempt.number, attempt.upstream, now - attempt.sentAt);
         });
-        return true;
+    }
+
+    /** Danger: what is let go of a request that is too long to be held can't be sent to another upstream. */
+    private void letGo(Attempt attempt) {
+        Call call = attempt.call;
+        if (!call.over) {
+            call.letGo = true;
+            timeStops(call, attempt);
+            tellBegun(call, attempt);
+        }
+    }
+
+    /** All of it is with its upstream: from now on its client waits. */
+    private void timeRuns(Attempt attempt) {
+        Call call = attempt.call;
+        if (!call.over && call.answering == null) {
+            call.backstop = timers.at(Math.min(endsAt, time.now() + call.request.patience()),
+                    () -> giveUp(call));
+        }
     }
 
     /** An attempt has ended: told to the module once, also when its request is over. */
@@ -425,6 +464,17 @@
             boolean whole = outcome == Outcome.OK;
             end(call, whole ? Tally.End.SERVED : Tally.End.FAILED);
             give(call, whole ? call.client::flowed : call.client::abort);
+        } else if (call.letGo && outcome != Outcome.OK && !call.over) {
+            // Nothing is left to decide: what it was can't be sent again, and only what is proven is said.
+            boolean neverRan = outcome.provesNeverRan();
+            end(call, neverRan ? Tally.End.REFUSED : Tally.End.FAILED);
+            give(call, () -> {
+                if (neverRan) {
+                    call.client.refused(0);
+                } else {
+                    call.client.failed(Front.Cause.UPSTREAM);
+                }
+            });
         } else if (outcome == Outcome.OK && !call.over) {
             end(call, Tally.End.SERVED);
             give(call, () -> call.client.served(reply));
@@ -476,7 +526,7 @@
     @Override
     public void refuse(long request, long wait) {
         Call call = calls.get(request);
-        if (call != null && !call.over && call.answering == null) {
+        if (call != null && !call.over && call.answering == null && !call.letGo) {
             end(call, Tally.End.REFUSED);
             give(call, () -> call.client.refused(settings.allowed().retryAfter() ? wait : 0));
         }
@@ -486,7 +536,7 @@
     @Override
     public void fail(long request) {
         Call call = calls.get(request);
-        if (call != null && call.answering == null) {
+        if (call != null && call.answering == null && !call.letGo) {
             boolean late = call.last == Outcome.TIMEOUT || time.now() >= call.deadline;
             fail(call, late ? Front.Cause.LATE : Front.Cause.UPSTREAM);
         }
@@ -500,6 +550,13 @@
         }
     }
 
+    /** What has begun to go out is not the module's any more, and is not cancelled by it. */
+    private void callOffWhatTheModuleLeaves(Call call) {
+        if (call.answering != null || call.letGo) {
+            call.attempts.forEach(each -> callOff(call, each));
+        }
+    }
+
     private void callOff(Call call, Attempt attempt) {
         if (!attempt.done && attempt.sending != null) {
             attempt.sending.abandon();
--- a/sidecar/src/main/java/appleridge/exchange/Upstreams.java
+++ b/sidecar/src/main/java/appleridge/exchange/Upstreams.java
@@ -19,6 +19,15 @@
             return false;
         }
 
+        /**
+         * The first of a request that can't be held whole is let go: from here on it can't be sent again, and
+         * until {@link #committed} its client's time does not run. Told of such requests alone.
+         */
+        default void letGo() { }
+
+        /** The last byte of such a request is with the socket. */
+        default void committed() { }
+
         /** With the answer where one was read, good or bad; else null. */
         void ended(Outcome outcome, Reply reply);
     }
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -45,7 +44,7 @@
  * One of the application's connections. Requests that come before earlier ones are answered are taken at
  * once, for their time runs; the answers go out in the order of the requests.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> implements HttpFlow.Source {
     private static final byte[] NO_BODY = {};
     private static final String READY_PATH = "/health/ready";
     /**
@@ -63,8 +62,6 @@
     private static final int SLOWEST_BODY = 60;
     /** Bytes of a long answer that the system holds for its client. */
     private static final int FLOW_BUFFER = 256 << 10;
-    /** Bytes that wait here for the client of a long answer. */
-    private static final WriteBufferWaterMark FLOW_MARKS = new WriteBufferWaterMark(16 << 10, 32 << 10);
     /** Nanoseconds in which a client takes some of what waits for it of a long answer; then it is cut off. */
     private static final long LONGEST_UNREAD = TimeUnit.SECONDS.toNanos(10);
 
@@ -76,6 +73,11 @@
     private final ArrayDeque<Exchange> exchanges = new ArrayDeque<>();
     private HttpRequest head;
     private ByteBuf body;
+    /** The request whose body is being passed on; null for none. */
+    private Exchange uploading;
+    private long uploaded;
+    /** When reading stopped because its upstream has enough; 0 while it goes on. */
+    private long pausedAt;
     /** Nothing that comes from now on is read. */
     private boolean deaf;
     private boolean lingering;
@@ -84,6 +86,8 @@
     /** Since when nothing has been open; or when the request that is being read began. */
     private long since;
     private boolean reading;
+    /** When something was read last. */
+    private long heardAt;
     /** When a client was last seen to read of a long answer. */
     private long progress;
     /** Requests that have begun since the loop last looked elsewhere. */
@@ -117,6 +121,10 @@
         if (deaf || !channel.isActive()) {
             return;
         }
+        if (message.decoderResult().isFailure() && uploading != null) {
+            cutShort(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+            return;
+        }
         if (message.decoderResult().isFailure()) {
             reject(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
             return;
@@ -132,7 +140,7 @@
             }
             head = request;
             body = Unpooled.buffer(256);
-            if (HttpUtil.getContentLength(request, 0L) > Framing.MAX_BODY) {
+            if (HttpUtil.getContentLength(request, 0L) > Framing.MOST_FLOWING) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
                 return;
             }
@@ -141,9 +149,14 @@
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
-        if (message instanceof HttpContent content && head != null) {
+        if (message instanceof HttpContent content && uploading != null) {
+            upload(content);
+        } else if (message instanceof HttpContent content && head != null) {
             if (body.readableBytes() + content.content().readableBytes() > Framing.MAX_BODY) {
-                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                beginUpload();
+                if (uploading != null) {
+                    upload(content);
+                }
                 return;
             }
             body.writeBytes(content.content());
@@ -155,11 +168,81 @@
         }
     }
 
+    /**
+     * A body is too long to be held: its request is taken with what has come, so that who sends slowly holds
+     * no upstream's slot before that, and the rest is passed on as it comes.
+     */
+    private void beginUpload() {
+        HttpRequest request = head;
+        head = null;
+        asked = true;
+        reading = false;
+        since = server.loop().now();
+        Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request),
+                request.protocolVersion().equals(HttpVersion.HTTP_1_1));
+        exchanges.add(exchange);
+        exchange.upload = new HttpFlow(request.headers(), HttpUtil.getContentLength(request, -1L), this);
+        uploading = exchange;
+        uploaded = body.readableBytes();
+        try {
+            ClientRequest read = server.reader().read(request, NO_BODY, since);
+            exchange.upload.write(body);
+            exchange.hangUp = server.exchanges().accept(read.with(((OutgoingRequest) read.message())
+                    .with(exchange.upload)), exchange);
+        } catch (BadRequest e) {
+            server.exchanges().tally().malformed();
+            exchange.say(e.status(), e.getMessage(), e.allowed());
+        }
+    }
+
+    private void upload(HttpContent content) {
+        Exchange exchange = uploading;
+        uploaded += content.content().readableBytes();
+        if (uploaded > Framing.MOST_FLOWING) {
+            cutShort(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+            return;
+        }
+        exchange.upload.write(content.content().retain());
+        if (content instanceof LastHttpContent) {
+            uploading = null;
+            since = server.loop().now();
+            input.whole(decoder.holdsBytes());
+            exchange.upload.whole();
+        }
+    }
+
+    /** The request that is being passed on has no end: nothing of it counts, and nothing more is read. */
+    private void cutShort(HttpResponseStatus status, String why) {
+        Exchange exchange = uploading;
+        server.exchanges().tally().malformed();
+        exchange.hangUp.run();
+        exchange.hangUp = () -> { };
+        exchange.say(status, why);
+    }
+
+    /** The upstream has enough to read: the client's end is seen again when that has gone. */
+    @Override
+    public void pause() {
+        pausedAt = server.loop().now();
+        channel.config().setAutoRead(false);
+    }
+
+    @Override
+    public void resume() {
+        heardAt = server.loop().now();
+        since += heardAt - pausedAt;
+        pausedAt = 0;
+        channel.config().setAutoRead(true);
+    }
+
     /** From a request's first byte its time runs, however slowly the others come. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         inOneTurn = 0;
-        if (input.begun() && !reading) {
+        heardAt = server.loop().now();
+        if (uploading != null) {
+            uploading.upload.flush();
+        } else if (input.begun() && !reading) {
             reading = true;
             since = server.loop().now();
         }
@@ -242,12 +325,18 @@
                 return;
             }
             Exchange exchange = exchanges.poll();
-            boolean last = !exchange.keepAlive || server.lastCall() && exchanges.isEmpty() && !input.begun();
+            boolean cut = exchange.upload != null && !exchange.upload.isWhole();
+            boolean last = cut || !exchange.keepAlive
+                    || server.lastCall() && exchanges.isEmpty() && !input.begun();
             exchange.response.headers().set(HttpHeaderNames.CONNECTION,
                     last ? HttpHeaderValues.CLOSE : HttpHeaderValues.KEEP_ALIVE);
             var written = channel.writeAndFlush(exchange.response);
             output.follow(written);
             since = reading ? since : server.loop().now();
+            if (cut) {
+                uploading = null;
+                exchange.upload.end();
+            }
             if (last) {
                 deafen();
                 written.addListener(done -> linger());
@@ -275,6 +364,7 @@
             exchange.begun = true;
             HttpFlow flow = exchange.flow;
             exchange.last = !exchange.keepAlive || !exchange.chunks && flow.length() < 0
+                    || exchange.upload != null && !exchange.upload.isWhole()
                     || server.lastCall() && exchanges.size() == 1 && !input.begun();
             HttpResponse start = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     Headers.endToEnd(flow.headers()).remove(Headers.LOAD));
@@ -287,7 +377,7 @@
             }
             // Danger: the system's own buffer grows without being asked, and shows no progress for seconds.
             channel.config().setOption(ChannelOption.SO_SNDBUF, FLOW_BUFFER);
-            channel.config().setWriteBufferWaterMark(FLOW_MARKS);
+            channel.config().setWriteBufferWaterMark(HttpFlow.MARKS);
             channel.write(start);
             flow.to(channel);
         }
@@ -421,16 +511,19 @@
         if (output.waits(now, OutputWatch.LONGEST_WAIT)
                 || flowing() != null && !channel.isWritable() && now - progress >= LONGEST_UNREAD) {
             cutOff();
-        } else if (reading && !deaf && stood >= times.request() + bodyMillis()) {
+        } else if (reading && !deaf && endless(now, times, head == null ? 0 : body.readableBytes())) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
+        } else if (uploading != null && pausedAt == 0 && !deaf && endless(now, times, uploaded)) {
+            cutShort(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
         } else if (stood >= (asked ? times.idle() : times.first())) {
             closeIfIdle();
         }
     }
 
-    /** A body may come as slowly as a bad line brings it: its own time, beside that of the head. */
-    private long bodyMillis() {
-        return head == null ? 0 : body.readableBytes() / SLOWEST_BODY;
+    /** A body may come as slowly as a bad line brings it, in its own time beside the head's; but come. */
+    private boolean endless(long now, ClientTimes times, long ofBody) {
+        return TimeUnit.NANOSECONDS.toMillis(now - heardAt) >= times.request()
+                || TimeUnit.NANOSECONDS.toMillis(now - since) >= times.request() + ofBody / SLOWEST_BODY;
     }
 
     /**
@@ -467,6 +560,9 @@
             if (open.flow != null) {
                 open.flow.end();
             }
+            if (open.upload != null) {
+                open.upload.end();
+            }
         }
         server.closed(this);
         ctx.fireChannelInactive();
@@ -488,6 +584,8 @@
         private FullHttpResponse response;
         /** The answer, where it is passed on in pieces; null else. */
         private HttpFlow flow;
+        /** The request's body, where it is passed on in pieces; null else. */
+        private HttpFlow upload;
         private boolean begun;
         private boolean flowed;
         private boolean last;
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -105,6 +105,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, HttpFlow.reads())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/sidecar/src/main/java/appleridge/http1/HttpFlow.java
+++ b/sidecar/src/main/java/appleridge/http1/HttpFlow.java
@@ -2,14 +2,17 @@
 
 import appleridge.exchange.Flow;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.ArrayDeque;
 
 /**
- * A long answer on its way from an upstream's connection to a client's. What waits for the client is bounded:
- * its connection says when it has enough, and the upstream's is not read until that has gone.
+ * A long body on its way from one connection to another, an answer's or a request's. What waits for who reads
+ * it is bounded: that connection says when it has enough, and the other is not read until that has gone.
  */
 final class HttpFlow implements Flow {
     /** Told when the answer may go on, or has to wait. */
@@ -19,14 +22,22 @@
         void resume();
     }
 
+    /** Bytes that wait in the process for who reads it: at the second it is paused, at the first goes on. */
+    static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(16 << 10, 32 << 10);
+
+    private static final int LEAST_READ = 64;
+    private static final int USUAL_READ = 2048;
+    private static final int MOST_READ = 32 << 10;
+
     private final HttpHeaders headers;
     private final long length;
     private final Source source;
-    /** What came before the client's connection was free for it; little, for the source waits meanwhile. */
+    /** What came before that connection was free for it; little, for the source waits meanwhile. */
     private final ArrayDeque<ByteBuf> early = new ArrayDeque<>();
     private Channel sink;
     private boolean paused;
     private boolean whole;
+    private Runnable end = () -> { };
     private boolean over;
 
     /**
@@ -40,6 +51,11 @@
         this.source = source;
     }
 
+    /** How connections are read on which a long body may come: bounded, for it is held meanwhile. */
+    static RecvByteBufAllocator reads() {
+        return new AdaptiveRecvByteBufAllocator(LEAST_READ, USUAL_READ, MOST_READ);
+    }
+
     HttpHeaders headers() {
         return headers;
     }
@@ -68,16 +84,30 @@
         }
     }
 
-    /** The client's connection is free for it, its head is written. */
+    /** The connection that it goes to is free for it, its head is written. */
     void to(Channel channel) {
+        to(channel, () -> { });
+    }
+
+    /** The same; with what is to be done once all of it has been written behind one another. */
+    void to(Channel channel, Runnable whenWhole) {
         sink = channel;
+        end = whenWhole;
         while (!early.isEmpty()) {
             sink.write(new DefaultHttpContent(early.poll()));
         }
         flush();
+        if (whole) {
+            end.run();
+        }
+    }
+
+    /** Whether all of it has come. */
+    boolean isWhole() {
+        return whole;
     }
 
-    /** The client's connection may take more, or less, than before. */
+    /** The connection that it goes to may take more, or less, than before. */
     void settle() {
         boolean full = !over && !whole && (sink == null || !sink.isWritable());
         if (full != paused) {
@@ -90,11 +120,14 @@
         }
     }
 
-    /** All of it has come; what waits for the client yet goes out without the source. */
+    /** All of it has come; what waits yet goes out without the source. */
     void whole() {
         flush();
         whole = true;
         settle();
+        if (sink != null && !over) {
+            end.run();
+        }
     }
 
     /** Nothing more is passed on. */
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -6,8 +6,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.HttpContent;
@@ -32,10 +32,8 @@
      * any more, and its client holds the beginning.
      */
     static final long LONGEST_PAUSE = TimeUnit.SECONDS.toNanos(5);
-
-    private static final int LEAST_READ = 64;
-    private static final int USUAL_READ = 2048;
-    private static final int MOST_READ = 32 << 10;
+    /** Nanoseconds in which an upstream takes some of what waits for it of a long request. */
+    private static final long LONGEST_UNREAD = TimeUnit.SECONDS.toNanos(10);
 
     private final UpstreamPool pool;
     private final InputWatch input;
@@ -55,6 +53,9 @@
     /** The answer, where it is too long to be held; null else. */
     private HttpFlow flow;
     private long flowed;
+    /** The request, where it is too long to be held; null else, and when its answer has come. */
+    private HttpFlow upload;
+    private Loop.Timer unread;
     private boolean paused;
 
     private UpstreamConnection(UpstreamPool pool, Channel channel, InputWatch input, Decoder decoder,
@@ -69,8 +70,7 @@
     /** With the nanoseconds for which an answer may pause once it has begun. */
     static void install(Channel channel, UpstreamPool pool, long stall) {
         // Danger: by itself a long answer's reads grow to 64 KiB each, held for as long as a client is slow.
-        channel.config().setRecvByteBufAllocator(new AdaptiveRecvByteBufAllocator(LEAST_READ, USUAL_READ,
-                MOST_READ));
+        channel.config().setRecvByteBufAllocator(HttpFlow.reads());
         InputWatch input = new InputWatch();
         Decoder decoder = new Decoder();
         channel.pipeline().addLast(input, decoder, new HttpRequestEncoder(),
@@ -126,9 +126,25 @@
         if (next.mustEndInTime()) {
             channel.pipeline().addFirst(new LastByte(() -> next.mayEnd(pool.loop().now())));
         }
-        channel.writeAndFlush(next.begin(channel, endpoint, pool.loop().now())).addListener(done -> {
+        if (next.flow() == null) {
+            follow(next, channel.writeAndFlush(next.begin(channel, endpoint, pool.loop().now())));
+            return;
+        }
+        channel.config().setWriteBufferWaterMark(HttpFlow.MARKS);
+        channel.write(next.start(channel, endpoint, pool.loop().now()));
+        upload = next.flow();
+        pool.loop().soon(next::tellLetGo);
+        watchForUnread();
+        upload.to(channel, () -> follow(next, channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)));
+    }
+
+    private void follow(UpstreamExchange next, ChannelFuture lastByte) {
+        lastByte.addListener(done -> {
             if (done.isSuccess()) {
                 next.lastByteWritten();
+                if (next.flow() != null) {
+                    pool.loop().soon(next::tellCommitted);
+                }
             } else {
                 // Kept back, it is known not to have run; else what the connection's end says holds.
                 result = done.cause() instanceof LastByte.LateException ? Outcome.NEVER_SENT : result;
@@ -137,6 +153,27 @@
         });
     }
 
+    /** The upstream has read some of a long request, or more waits for it than should. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (upload != null) {
+            watchForUnread();
+            upload.settle();
+        }
+        ctx.fireChannelWritabilityChanged();
+    }
+
+    /** Danger: an upstream that reads no more would hold its client's connection, unread, for good. */
+    private void watchForUnread() {
+        if (unread != null) {
+            unread.cancel();
+            unread = null;
+        }
+        if (upload != null && !channel.isWritable()) {
+            unread = pool.loop().after(LONGEST_UNREAD, channel::close);
+        }
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (broken) {
@@ -257,6 +294,7 @@
             exchange = null;
             head = null;
             body = null;
+            endUpload();
             if (flow != null) {
                 flow.whole();
                 flow = null;
@@ -275,6 +313,16 @@
         ctx.fireChannelReadComplete();
     }
 
+    /** Nothing more of it goes to this upstream, whether or not all of it has. */
+    private void endUpload() {
+        if (upload != null) {
+            HttpFlow ended = upload;
+            upload = null;
+            watchForUnread();
+            ended.end();
+        }
+    }
+
     /** What an answer proves: only the upstream's own word that it did not run counts as that. */
     private static Outcome outcome(HttpResponse head) {
         int status = head.status().code();
@@ -289,6 +337,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         UpstreamExchange broken = exchange;
         exchange = null;
+        endUpload();
         if (flow != null) {
             flow.end();
             flow = null;
--- a/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
@@ -7,6 +7,7 @@
 import appleridge.transport.Connector;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 
 /** One request on its way to an upstream: ends once, by a result or by being abandoned. */
 final class UpstreamExchange implements Upstreams.Sending {
@@ -49,6 +50,34 @@
         return request.message(endpoint.address(), window.until() - now);
     }
 
+    /** The body, where it is too long to be held; null else. */
+    HttpFlow flow() {
+        return request.flow();
+    }
+
+    /**
+     * The head of a request whose body flows: it begins now, and can't be sent again. It tells the whole of
+     * its client's time, which runs from its last byte on.
+     */
+    HttpRequest start(Channel on, Endpoint endpoint, long now) {
+        channel = on;
+        return request.start(endpoint.address(), window.until() - now);
+    }
+
+    /** To be called once it has begun, and not inside the call that sends it. */
+    void tellLetGo() {
+        if (!over) {
+            listener.letGo();
+        }
+    }
+
+    /** To be called behind {@link #tellLetGo} when its last byte is with the socket. */
+    void tellCommitted() {
+        if (!over) {
+            listener.committed();
+        }
+    }
+
     /** The request's last byte is with the socket: from now on the upstream may run it. */
     void lastByteWritten() {
         written = true;
