--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -153,10 +153,7 @@
             upload(content);
         } else if (message instanceof HttpContent content && head != null) {
             if (body.readableBytes() + content.content().readableBytes() > Framing.MAX_BODY) {
-                beginUpload();
-                if (uploading != null) {
-                    upload(content);
-                }
+                goOnBeyondWhatIsHeld(content);
                 return;
             }
             body.writeBytes(content.content());
@@ -168,6 +165,21 @@
         }
     }
 
+    /**
+     * Danger: chunks say nothing of what is to come, and who sends them without end would have an upstream
+     * read 32 MiB that are no request. So only what has said its length goes on.
+     */
+    private void goOnBeyondWhatIsHeld(HttpContent content) {
+        if (!HttpUtil.isContentLengthSet(head)) {
+            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large without a length");
+            return;
+        }
+        beginUpload();
+        if (uploading != null) {
+            upload(content);
+        }
+    }
+
     /**
      * A body is too long to be held: its request is taken with what has come, so that who sends slowly holds
      * no upstream's slot before that, and the rest is passed on as it comes.
