What a long request's start tells the module is no answer's time

Seen in a reading of the change: a request that begins to go out told the module of an answer after the time to connect, which taught it a usual time near nothing for that class, and so lateness where there was none. firstByte now says with a negative time that it is the request; its server's room is free as before, and nothing is learned. Forty long bodies at two servers leave their room free and have no other end (a new test of the module).

--- a/sidecar/src/main/java/appleridge/decision/Balancer.java
+++ b/sidecar/src/main/java/appleridge/decision/Balancer.java
@@ -225,7 +225,8 @@
 
     /**
      * An answer has begun to go out, streamed by its class or too long to be held: its attempt belongs to the
-     * client, its deadline no longer holds, and nothing else can be tried. The outcome comes with its end.
+     * client, its deadline no longer holds, and nothing else can be tried. The outcome comes with its end. So
+     * it is where a request too long to be held has begun to go out; then {@code elapsed} is negative.
      */
     void firstByte(long now, long request, int attempt, long upstream, long elapsed);
 
--- a/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
+++ b/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
@@ -79,7 +79,7 @@
         if (call != null && attempt < call.attempts.size()) {
             call.streaming = true;
             if (!call.kind.stream()) {
-                ledger.begun(now, call, call.attempts.get(attempt));
+                ledger.begun(now, call, call.attempts.get(attempt), elapsed >= 0);
                 admission.drain(now);
                 alarms.flush();
             }
@@ -361,10 +361,14 @@
          * An answer too long to be held begins to go out. Danger: the rest takes as long as its client
          * reads, which tells nothing of the server and must not take its room: what it was asked for is done.
          */
-        void begun(long now, Call call, Attempt attempt) {
-            if (attempt.out && !attempt.begun) {
-                attempt.begun = true;
-                attempt.server.inFlight--;
+        void begun(long now, Call call, Attempt attempt, boolean answers) {
+            if (!attempt.out || attempt.begun) {
+                return;
+            }
+            attempt.begun = true;
+            attempt.server.inFlight--;
+            // Danger: that a request has begun to go out took no time, and says nothing of answers.
+            if (answers) {
                 health.ended(now, attempt, Outcome.OK, call);
                 admission.ended(now, attempt, Outcome.OK, call);
                 roster.served.add(now, call.expected);
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -414,11 +414,11 @@
         timeStops(call, attempt);
         call.attempts.stream().filter(other -> other != attempt).forEach(other -> callOff(call, other));
         give(call, () -> call.client.flows(answer));
-        tellBegun(call, attempt);
+        tellBegun(call, attempt, time.now() - attempt.sentAt);
         return true;
     }
 
-    private void timeStops(Call call, Attempt attempt) {
+    private static void timeStops(Call call, Attempt attempt) {
         call.backstop.cancel();
         if (attempt.timer != null) {
             attempt.timer.cancel();
@@ -426,11 +426,8 @@
     }
 
     /** The module is told of what can't be taken back: nothing else can be tried any more. */
-    private void tellBegun(Call call, Attempt attempt) {
-        tell(() -> {
-            long now = time.now();
-            balancer.firstByte(now, call.id, attempt.number, attempt.upstream, now - attempt.sentAt);
-        });
+    private void tellBegun(Call call, Attempt attempt, long elapsed) {
+        tell(() -> balancer.firstByte(time.now(), call.id, attempt.number, attempt.upstream, elapsed));
     }
 
     /** Danger: what is let go of a request that is too long to be held can't be sent to another upstream. */
@@ -439,7 +436,7 @@
         if (!call.over) {
             call.letGo = true;
             timeStops(call, attempt);
-            tellBegun(call, attempt);
+            tellBegun(call, attempt, -1);
         }
     }
 
--- a/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
+++ b/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
@@ -83,6 +83,32 @@
         assertEquals(order.get(1), host.last().upstream(), "pointed holds one, the next none");
     }
 
+    /**
+     * Guards against servers that are closed to all by a few clients that read or send slowly: forty long
+     * bodies at two servers leave their room free, are no lateness, and nothing is tried again for them.
+     */
+    @Test
+    void whatHasBegunToGoOutTakesNoRoomAndHasNoOtherEnd() {
+        for (long elapsed : new long[] {20 * MS, -1}) {
+            Recorder host = host(REPEATABLE).withUpstreams(2);
+            for (int i = 0; i < 40; i++) {
+                host.request(i, 0);
+                assertEquals(1, host.sendsOf(i).size(), "there is room for " + i);
+                host.logic.firstByte(host.now, i, 0, host.sendsOf(i).get(0).upstream(), elapsed);
+                host.advance(5 * MS);
+            }
+            host.advance(60_000 * MS);
+            assertEquals(List.of(), host.answers, "their deadlines no longer count");
+            for (int i = 0; i < 40; i++) {
+                host.outcome(host.sendsOf(i).get(0), i % 2 == 0 ? Outcome.OK : Outcome.RESET);
+                assertEquals(1, host.sendsOf(i).size());
+            }
+            host.request(100, 0);
+            assertEquals(1, host.sendsOf(100).size(), "nothing is left of them");
+            assertEquals(List.of(), host.answers);
+        }
+    }
+
     @Test
     void redrawnOnlyWhenTheReadySetChanges() {
         Recorder host = host(REPEATABLE).withUpstreams(8);
