The warm-up of a build binds no fixed port

Serve.warmUp listens on any port now and follows discovery at its own address, so that the same classes are loaded as before. The new test holds the address of the file and failed before.

--- a/sidecar/src/main/java/appleridge/config/Config.java
+++ b/sidecar/src/main/java/appleridge/config/Config.java
@@ -77,6 +77,12 @@
                 kinds, connIdle, maxOpen, other);
     }
 
+    /** The same with clients connecting elsewhere. */
+    public Config listeningAt(InetSocketAddress other) {
+        return new Config(name, other, discovery, seed, sockets, known, settings, classes, tenants, zones,
+                kinds, connIdle, maxOpen, admin);
+    }
+
     /** What differs in another configuration and can't be taken over while the sidecar runs. */
     public List<String> fixedParts(Config other) {
         Map<String, Boolean> same = new LinkedHashMap<>();
--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -83,7 +83,13 @@
         logging();
         Config config = configuration(Path.of(System.getenv().getOrDefault("BALANCER_CONFIG", "")));
         try {
-            start(config, Tuning.USUAL).close();
+            // Danger: a fixed port is one that another build on the same machine may hold.
+            Serve serve = new Serve();
+            serve.open(config.listeningAt(new InetSocketAddress(config.listen().getAddress(), 0)),
+                    Tuning.USUAL);
+            serve.follow(serve.address());
+            serve.warm(config);
+            serve.close();
         } catch (Exception e) {
             System.err.println("appleridge: can't warm up: " + String.valueOf(e.getMessage()).split("\n")[0]);
             System.exit(1);
@@ -146,12 +152,21 @@
     }
 
     private void begin(Config config, Tuning tuning) throws InterruptedException, ExecutionException {
+        open(config, tuning);
+        warm(config);
+    }
+
+    /** It listens, but is not ready. */
+    private void open(Config config, Tuning tuning) throws InterruptedException, ExecutionException {
         Loop loop = loop(group.next(), System.Logger.Level.INFO);
         Sockets sockets = new NioSockets();
         ChannelFuture listening = group.submit(() -> listen(loop, sockets, config, tuning)).get();
         address = (InetSocketAddress) listening.sync().channel().localAddress();
-        WarmUp.run(loop(group.next(), System.Logger.Level.DEBUG), sockets, config);
-        loop.soon(node::warm);
+    }
+
+    private void warm(Config config) throws InterruptedException {
+        WarmUp.run(loop(group.next(), System.Logger.Level.DEBUG), new NioSockets(), config);
+        group.execute(node::warm);
     }
 
     private ChannelFuture listen(Loop loop, Sockets sockets, Config config, Tuning tuning) {
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -6,6 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import appleridge.config.Config;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -81,6 +84,20 @@
         }
     }
 
+    /** Guards against two builds on one machine that fail each other, for both warm up. */
+    @Test
+    void warmsUpWhereAnotherProcessHoldsTheAddressOfItsFile() throws Exception {
+        JsonNode file = new ObjectMapper().readTree(Path.of("../deploy/warm-up.json").toFile());
+        InetSocketAddress address = Config.address(file.path("listen").asText());
+        try (ServerSocket held = new ServerSocket()) {
+            held.setReuseAddress(true);
+            held.bind(address);
+            String told = output("-jar", "target/appleridge.jar", "warm-up");
+            assertTrue(told.startsWith("status 0"), told);
+            assertFalse(told.contains("can't"), told);
+        }
+    }
+
     @Test
     void aBadOperatorsFileIsNamedAndNothingStarts() throws Exception {
         Path file = folder.resolve("operator.toml");
