A lost site is tried as one, shedding cuts in proportion, unread waits count

Two servers of a site in a row that can't be reached, where there are other sites, now shut it out, and it is tried as one server is (Health.unreachable, tried, reached). - Admission.late took 0.2 of the whole for a late attempt, twice: the part admitted fell from 1.1 to 0.33 in two seconds, and 284 answers a second came where 400 had come before the burst. It takes 0.2 of what is left, once. - A tenant that floods was shed like the others; one that asks for more than its part goes first now (Share.over). - A request that waited unread while the loop was late had its whole time again (ClientConnection.take): Exchanges.cameAt counts it from the last beat before.

--- a/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
+++ b/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
@@ -251,6 +251,7 @@
         boolean mayHaveRun = true;
         /** Its answer is on the way in pieces. */
         boolean begun;
+        boolean late;
 
         Attempt(Server server, long sentAt) {
             this.server = server;
@@ -301,6 +302,7 @@
                     health.usual[request.requestClass()].expected(request.costHint()));
             calls.put(request.id(), call);
             roster.asked.add(now, call.expected);
+            admission.share(call).asked.add(now, call.expected);
             alarms.set(call.deadline, at -> {
                 if (!call.streaming) {
                     answer(call);
@@ -353,6 +355,7 @@
             admission.release(call);
             server.coldCredit -= call.expected;
             server.inFlight++;
+            health.tried(now, server);
             actions.send(call.request.id(), server.id, 0);
             health.watch(call, attempt, health.lateAfter(call));
         }
@@ -604,6 +607,28 @@
         }
     }
 
+    /** What failed connects tell of all servers of one zone together. */
+    private static final class Site {
+        /** So many servers in a row that can't be reached tell of the site and not of themselves. */
+        private static final int FAR = 2;
+        private int unreached;
+        private Server last;
+        private long heardAt;
+        private long backoff;
+        private long nextTrial;
+
+        boolean shut() {
+            return unreached >= FAR;
+        }
+
+        void heard(long now) {
+            unreached = 0;
+            last = null;
+            heardAt = now;
+            nextTrial = 0;
+        }
+    }
+
     /** Evidence about each server, from this sidecar's own attempts and from its peers' notes. */
     private final class Health {
         /** Part of the aim: what takes longer leaves no time for a second try with its own delays. */
@@ -615,6 +640,7 @@
         /** A note is an upstream's id and a weight: 1 for lateness, 2 for what hurts at once. */
         private static final int NOTE = 8;
         private static final int HEAVY = 2;
+        private final Map<Integer, Site> sites = new HashMap<>();
         /** Bytes that may reach peers for each own request, all receivers together: few beside a request. */
         private static final double NOTED = 128;
         private final double noteIncome = NOTED / NOTE / settings.replicas();
@@ -650,7 +676,10 @@
         void watch(Call call, Attempt attempt, long wait) {
             alarms.set(attempt.sentAt + wait, at -> {
                 if (attempt.out && !attempt.begun && attempt.server.answeredSent <= attempt.sentAt) {
-                    admission.late(at, call, attempt, wait);
+                    if (!attempt.late) {
+                        attempt.late = true;
+                        admission.late(at, call, attempt);
+                    }
                     note(at, attempt.server, 1);
                     watch(call, attempt, 2 * wait);
                 }
@@ -695,11 +724,59 @@
 
         /** Shut by a failed connect, which costs a request the connect time-out; opens for rare trials. */
         boolean open(long now, Server server) {
-            return now >= server.nextTrial;
+            return now >= server.nextTrial && now >= site(server).nextTrial;
+        }
+
+        private Site site(Server server) {
+            return sites.computeIfAbsent(server.entry.zone(), zone -> new Site());
+        }
+
+        /**
+         * Danger: a site that is cut off costs each of many sidecars the connect time-out at each of its
+         * servers, over and over, for every trial of a server is one. Where servers in a row can't be reached
+         * and there are others elsewhere, the site as a whole is tried as one server would be.
+         */
+        private void unreachable(long now, Attempt attempt) {
+            Site site = site(attempt.server);
+            if (attempt.server == site.last || attempt.sentAt < site.heardAt
+                    || roster.ready.stream().noneMatch(other -> site(other) != site)) {
+                return;
+            }
+            site.last = attempt.server;
+            if (++site.unreached == Site.FAR) {
+                actions.log("site " + attempt.server.entry.zone() + " shut out: no connection");
+                site.backoff = firstBackoff / 2;
+            }
+            if (site.shut()) {
+                site.backoff = Math.min(2 * site.backoff, 8 * firstBackoff);
+                site.nextTrial = now + site.backoff;
+            }
+        }
+
+        /** While its site is shut no other trial follows this one at once. */
+        void tried(long now, Server server) {
+            Site site = site(server);
+            if (site.shut()) {
+                site.nextTrial = now + site.backoff;
+            }
+        }
+
+        /** What could not be reached together with its site is tried again at once. */
+        private void reached(long now, Server server) {
+            Site site = site(server);
+            if (site.shut()) {
+                actions.log("site " + server.entry.zone() + " answers again");
+                roster.ready.stream().filter(other -> site(other) == site)
+                        .forEach(other -> other.nextTrial = Math.min(other.nextTrial, now));
+            }
+            site.heard(now);
         }
 
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
             Server server = attempt.server;
+            if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REJECTED) {
+                reached(now, server);
+            }
             if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
                 server.answeredSent = Math.max(server.answeredSent, attempt.sentAt);
                 if (server.nextTrial > 0) {
@@ -718,6 +795,7 @@
                     server.backoff = Math.min(2 * server.backoff, 8 * firstBackoff);
                     server.nextTrial = now + server.backoff;
                     note(now, server, HEAVY);
+                    unreachable(now, attempt);
                 }
                 case ERROR -> note(now, server, HEAVY);
                 case RESET, REJECTED -> note(now, server, 1);
@@ -730,13 +808,26 @@
     private static final class Share {
         /** Newest first. Danger: first-in first-out under overload makes every answer late. */
         private final ArrayDeque<Call> held = new ArrayDeque<>();
+        private final double portion;
         private final double quota;
         private final FadingSum spent;
+        private final FadingSum asked;
         private long skippedAt;
 
-        Share(double quota, double window) {
-            this.quota = quota;
+        Share(Tenant tenant, double window, double longer) {
+            this.portion = tenant.portion();
+            this.quota = tenant.quotaPerSecond() > 0 ? tenant.quotaPerSecond() : 1;
             this.spent = new FadingSum(window);
+            this.asked = new FadingSum(longer);
+        }
+
+        /**
+         * How many times its part of all that was asked for it has asked for lately; at least once.
+         *
+         * @param chance work that may have come by chance
+         */
+        double over(long now, double all, double chance) {
+            return Math.max(1, (asked.value(now) + chance) / (portion * all + chance));
         }
 
         double used(long now) {
@@ -757,8 +848,10 @@
         private final int[] firstVotes = new int[settings.classes().size()];
         private long busyUntil;
         private boolean drainSet;
-        /** Lost when an attempt is late and when twice as late; won back by quarters, after three in full. */
+        /** The part that one late attempt takes; won back by quarters of it, after three in full. */
         private static final double CUT = 0.2;
+        /** Requests of a tenant that may have come together by chance. */
+        private static final double CHANCE = 4;
         /** Windows of evidence after which nothing is left of what was lost. */
         private static final double EASE = 2;
         /** One cut over the whole at most: a rare late answer sheds nothing. */
@@ -771,9 +864,9 @@
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
-                double quota = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).quotaPerSecond();
+                Tenant tenant = settings.tenants().isEmpty() ? new Tenant(1, 1) : settings.tenants().get(i);
                 // Four aims: long against answers, short against a burst of some seconds.
-                shares[i] = new Share(quota > 0 ? quota : 1, 4.0 * settings.classes().get(0).aim());
+                shares[i] = new Share(tenant, 4.0 * settings.classes().get(0).aim(), roster.asked.window);
             }
         }
 
@@ -829,14 +922,15 @@
          * Danger: no limit per server binds where each of many sidecars has one request out here and there,
          * and together they queue all work past its aim for good. Lateness at a server no worse than others
          * that held nothing else of this sidecar's cuts the share of first tries admitted, by the worth that
-         * lateness takes; each answer in time wins a part back.
+         * lateness takes; each answer in time wins a part back. Danger: cuts of one size take from what is
+         * left as much as from the whole; a second of a crowd shuts each of a hundred sidecars nearly for
+         * good, together, and the servers idle. So a cut is a part of what is still admitted.
          */
-        void late(long now, Call call, Attempt attempt, long wait) {
-            if (attempt.crowd == 0 && wait < 4 * health.lateAfter(call)
-                    && health.share(now, attempt.server) > 0.5) {
+        void late(long now, Call call, Attempt attempt) {
+            if (attempt.crowd == 0 && health.share(now, attempt.server) > 0.5) {
                 inTime = 0;
                 ease(now);
-                move(-CUT * (1 - call.kind.lateShare()));
+                move(-CUT * Math.min(1, admitted) * (1 - call.kind.lateShare()));
             }
         }
 
@@ -857,13 +951,17 @@
             easedAt = now;
         }
 
-        /** Load shedding, spread evenly over the first tries. */
+        /**
+         * Load shedding, spread evenly over the first tries, but that a tenant which asks for more than its
+         * part goes first: what comes beyond that is worth little.
+         */
         private boolean shed(long now, Call call) {
             if (!call.attempts.isEmpty()) {
                 return false;
             }
             ease(now);
-            ration += admitted;
+            double over = share(call).over(now, roster.asked.value(now), CHANCE * call.expected);
+            ration += admitted >= 1 ? admitted : Math.pow(admitted, over * over);
             return ration < 1 || ration-- < 1;
         }
 
@@ -944,7 +1042,7 @@
             if (outcome == Outcome.OK && now - attempt.sentAt < health.lateAfter(call)) {
                 move(++inTime > 2 ? CUT : CUT / 4);
             } else if (outcome == Outcome.REJECTED) {
-                late(now, call, attempt, 2 * health.lateAfter(call));
+                late(now, call, attempt);
             }
             Usual usual = health.usual[call.request.requestClass()];
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
--- a/sidecar/src/main/java/appleridge/exchange/ClientRequest.java
+++ b/sidecar/src/main/java/appleridge/exchange/ClientRequest.java
@@ -4,7 +4,7 @@
  * A client's request as read and found in order.
  *
  * @param name the client's own id of it
- * @param arrived when its last byte was read
+ * @param arrived when its last byte may have come at the earliest
  * @param patience how long the client waits from then on, in nanoseconds
  * @param key what the request is about, as a number; 0 for nothing
  * @param costHint rough work in nanoseconds; 0 where unknown
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -27,6 +27,11 @@
 public final class Exchanges implements Actions {
     /** A beat that is missed by so much tells that the thread stood still. */
     private static final long STOOD_STILL = TimeUnit.MILLISECONDS.toNanos(500);
+    /**
+     * A beat that is missed by so much tells that the thread was late: it is looked after each 100 ms. For as
+     * long after that, what is read may have come while it was.
+     */
+    private static final long LATE = TimeUnit.MILLISECONDS.toNanos(150);
     /**
      * For so long at most requests wait, after the thread stood still for longer than drains allow, for word
      * of what the list has come to meanwhile.
@@ -60,6 +65,9 @@
     private Timers.Timer listAwaited;
     private long beat;
     private long stoodStillUntil;
+    /** The last beat before the thread was late, and when it beat again. */
+    private long lateFrom;
+    private long lateUntil;
     private long endsAt = Long.MAX_VALUE;
     private Tally tally = Tally.NONE;
 
@@ -79,6 +87,7 @@
         this.log = log;
         this.beat = time.now();
         this.stoodStillUntil = beat - AFTERMATH;
+        this.lateUntil = beat - AFTERMATH;
         this.balancer = module.apply(this);
     }
 
@@ -200,6 +209,10 @@
             }
             stoodStillUntil = now;
         }
+        if (now - beat > LATE) {
+            lateFrom = beat;
+            lateUntil = now;
+        }
         beat = now;
         if (stoodStill && lists != null && !catchingUp) {
             catchingUp = true;
@@ -220,6 +233,16 @@
         return beat - stoodStillUntil < AFTERMATH;
     }
 
+    /**
+     * Since when what is read from clients now may have been there. Danger: counted from when the thread
+     * comes to read it, a request that waited is answered as much later than its client waits for it; so
+     * what is read soon after the thread was late counts as having come at its last beat before.
+     */
+    public long cameAt() {
+        beat();
+        return beat - lateUntil < LATE ? lateFrom : beat;
+    }
+
     /** Takes a request over; what is returned is to be run when its client leaves. */
     public Runnable accept(ClientRequest request, Front client) {
         beat();
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -289,7 +289,7 @@
             return;
         }
         try {
-            ClientRequest read = server.reader().read(request, content, server.loop().now());
+            ClientRequest read = server.reader().read(request, content, server.exchanges().cameAt());
             if (first || server.exchanges().hasJustStoodStill()) {
                 server.loop().soon(() -> acceptIfThere(read, exchange));
             } else {
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -147,6 +147,41 @@
         }
     }
 
+    /** Guards against answers as much too late as the process stood still with the request unread. */
+    @Test
+    void whatWaitedUnreadIsAnsweredInItsClientsTime() throws Exception {
+        int port;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = unused.getLocalPort();
+        }
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream(StubUpstream.SILENT)) {
+            String json = LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
+                    LoopbackNode.targets(upstream)).replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"");
+            Process process = serve(json);
+            try (TestClient client = connect(process, port)) {
+                while (TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")) != 200) {
+                    assertTrue(process.isAlive());
+                }
+                signal(process, "STOP");
+                long asked = System.nanoTime();
+                client.send(TestClient.request("pay", "0.9"));
+                Thread.sleep(600);
+                signal(process, "CONT");
+                assertEquals(504, TestClient.status(client.read()));
+                long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - asked);
+                assertTrue(took < 1250, "answered after ms: " + took);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void signal(Process process, String name) throws Exception {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+        assertEquals(0, kill.waitFor());
+    }
+
     /** Guards against requests lost where a restart follows a start at once: it listens before it is warm. */
     @Test
     void sigtermWhileWarmingUpAnswersWhatIsHeld() throws Exception {
@@ -212,15 +247,15 @@
                 BufferedReader log = process.errorReader();
                 await(log, "serves at");
                 Files.writeString(folder.resolve("config.json"), json.substring(0, json.length() / 2));
-                hangUp(process);
+                signal(process, "HUP");
                 await(log, "new configuration not used");
                 Files.writeString(folder.resolve("config.json"),
                         json.replace(discovery.address(), other.address()).replace("\"n0\"", "\"n1\""));
-                hangUp(process);
+                signal(process, "HUP");
                 await(log, "needs a restart to take effect: name");
                 assertTrue(other.nextRequest().startsWith("GET /registry/instances HTTP"));
                 assertEquals(200, TestClient.status(client.ask(TestClient.request("pay", "3.0"))));
-                hangUp(process);
+                signal(process, "HUP");
                 process.destroy();
                 assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
@@ -230,10 +265,6 @@
         }
     }
 
-    private static void hangUp(Process process) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
-    }
-
     /** Danger: a read that waits for a line can't be interrupted, so none is begun before there is one. */
     private static void await(BufferedReader log, String text) throws Exception {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LoopbackNode.PATIENCE_SECONDS);
@@ -266,7 +297,7 @@
             try {
                 BufferedReader log = process.errorReader();
                 await(log, "SIGHUP is ignored");
-                hangUp(process);
+                signal(process, "HUP");
                 process.destroy();
                 assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
--- a/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
+++ b/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
@@ -495,6 +495,79 @@
                 "log upstream 1 answers again"), logged);
     }
 
+    /** Sites are the ids' halves: a failed connect takes its time-out, and all of one site's fail. */
+    private static int connectsInto(Recorder host, int site, int requests) {
+        int before = host.sends.size();
+        for (int i = 0; i < requests; i++) {
+            host.request(1_000 + i, 0);
+            while (host.sendsOf(1_000 + i).stream().anyMatch(s -> s == host.last())
+                    && host.last().upstream() % 2 == site) {
+                Recorder.Sent cut = host.last();
+                host.advance(100 * MS);
+                host.outcome(cut, Outcome.CONNECT_FAILED);
+                if (host.last() == cut) {
+                    break;
+                }
+            }
+            host.advance(20 * MS);
+            if (host.last().upstream() % 2 != site) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+        return (int) host.sends.stream().skip(before).filter(s -> s.upstream() % 2 == site).count();
+    }
+
+    /** Guards against a hundred sidecars that each find out of each server of a lost site alone. */
+    @Test
+    void aSiteThatCantBeReachedIsTriedAsOneServerIs() {
+        Recorder host = host(REPEATABLE).withUpstreams(40);
+        host.serve(0, 80, 0, 20 * MS);
+        int tried = connectsInto(host, 1, 100);
+        assertTrue(tried <= 4, "twenty servers, in some three seconds: " + tried);
+        assertTrue(host.log.contains("log site 1 shut out: no connection"));
+        host.advance(10_000 * MS);
+        int before = host.sends.size();
+        host.serve(5_000, 5_120, 0, 20 * MS);
+        assertTrue(host.log.contains("log site 1 answers again"));
+        long back = host.sends.stream().skip(before).filter(s -> s.upstream() % 2 == 1).count();
+        assertTrue(back >= 50, "its servers have their turns again: " + back);
+    }
+
+    @Test
+    void oneServerThatCantBeReachedSaysNothingOfItsSite() {
+        Recorder host = host(REPEATABLE).withUpstreams(8);
+        for (int i = 0; i < 200; i++) {
+            host.request(i, 0);
+            boolean down = host.last().upstream() == 1;
+            host.advance(20 * MS);
+            host.outcome(host.last(), down ? Outcome.CONNECT_FAILED : Outcome.OK);
+            if (down) {
+                host.outcome(host.last(), Outcome.OK);
+            }
+        }
+        assertTrue(host.log.contains("log upstream 1 shut out: no connection"));
+        assertFalse(host.log.contains("log site 1 shut out: no connection"));
+        assertTrue(host.sentTo(3, 0) > 15 && host.sentTo(7, 0) > 15);
+    }
+
+    /** Where there is one site alone, to shut it out would take every other gate away as well. */
+    @Test
+    void theOnlySiteIsNeverShutOut() {
+        Recorder host = host(REPEATABLE);
+        List<Balancer.Upstream> list = new ArrayList<>();
+        for (int id = 0; id < 16; id += 2) {
+            list.add(upstream(id));
+        }
+        host.logic.listChanged(host.now, ListKind.CACHED, list);
+        for (int i = 0; i < 40; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(20 * MS);
+            host.outcome(sent, sent.upstream() < 8 ? Outcome.CONNECT_FAILED : Outcome.OK);
+        }
+        assertFalse(host.log.contains("log site 0 shut out: no connection"));
+    }
+
     @Test
     void anEmptyOrNeverArrivingListAnswersEveryRequest() {
         Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, ONCE, REPEATABLE), 7);
@@ -659,7 +732,72 @@
             }
         }
         assertEquals(399, host.last().request(), "the last ones are all admitted");
-        assertTrue(host.log.contains("log load shedding ends"));
+        long begun = host.log.stream().filter(line -> line.startsWith("log load shedding begins")).count();
+        assertEquals(begun, host.log.stream().filter("log load shedding ends"::equals).count());
+    }
+
+    /**
+     * Guards against a hundred sidecars that a second of a crowd shuts nearly for good, together: half of
+     * what is answered is late, and goes on to be; of what is asked a good part is still to be sent.
+     */
+    @Test
+    void halfOfTheAnswersLateLeavesAGoodPartAdmitted() {
+        Recorder host = host(ONCE).withUpstreams(40);
+        host.serve(0, 200, 0, 20 * MS);
+        int asked = 200;
+        List<Recorder.Sent> waiting = new ArrayList<>();
+        int before = host.sends.size();
+        for (int tick = 0; tick < 400; tick++) {
+            int sent = host.sends.size();
+            host.request(asked, 0);
+            asked++;
+            if (host.sends.size() > sent) {
+                waiting.add(host.last());
+            }
+            host.advance(50 * MS);
+            for (Recorder.Sent each : List.copyOf(waiting)) {
+                boolean slow = each.request() % 2 == 0;
+                if (host.now - each.at() >= (slow ? 450 : 50) * MS) {
+                    waiting.remove(each);
+                    host.outcome(each, Outcome.OK);
+                }
+            }
+        }
+        double part = (host.sends.size() - before) / 400.0;
+        assertTrue(part > 0.35 && part < 0.95, "sent of what was asked " + part);
+    }
+
+    @Test
+    void aTenantBeyondItsPartIsShedFirst() {
+        Balancer.Settings base = settings(ONCE);
+        Recorder host = new Recorder(new Balancer.Settings(0, 1, 0, 5 * MS, Discovery.AUTOMATIC,
+                Balancer.Weights.SILENT, base.classes(), List.of(new Balancer.Tenant(0.5, 10),
+                new Balancer.Tenant(0.5, 10)), base.allowed(), base.limits(), List.of(), false, 0.1), 7)
+                .withUpstreams(40);
+        host.serve(0, 200, 0, 20 * MS);
+        int[] asked = new int[2];
+        int[] sent = new int[2];
+        List<Recorder.Sent> waiting = new ArrayList<>();
+        for (int i = 1_000; i < 2_000; i++) {
+            int tenant = i % 4 == 0 ? 1 : 0;
+            int before = host.sends.size();
+            host.logic.request(host.now, new Balancer.Request(i, 0, tenant, 0, 1_000 * MS, 0, false, false));
+            asked[tenant]++;
+            if (host.sends.size() > before) {
+                sent[tenant]++;
+                waiting.add(host.last());
+            }
+            host.advance(25 * MS);
+            for (Recorder.Sent each : List.copyOf(waiting)) {
+                if (host.now - each.at() >= (each.request() % 3 == 0 ? 450 : 50) * MS) {
+                    waiting.remove(each);
+                    host.outcome(each, Outcome.OK);
+                }
+            }
+        }
+        double flood = sent[0] / (double) asked[0];
+        double modest = sent[1] / (double) asked[1];
+        assertTrue(modest > 1.15 * flood, "of the modest " + modest + ", of the flood " + flood);
     }
 
     /** One by one, answered in 20 ms where the module sends them. */
--- a/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
+++ b/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
@@ -333,6 +333,21 @@
         assertFalse(exchanges.hasJustStoodStill(), "however long it was");
     }
 
+    /** Guards against answers that come as much too late as the thread was late to read what was asked. */
+    @Test
+    void whatIsReadAfterTheThreadWasLateMayHaveComeWhileItWas() {
+        pass(300 * MS);
+        long before = hand.now();
+        assertEquals(before, exchanges.cameAt(), "a thread in time");
+        hand.standStill(400 * MS);
+        assertEquals(before, exchanges.cameAt());
+        assertEquals(before, exchanges.cameAt(), "the next one that is read in the same turn, too");
+        pass(100 * MS);
+        assertEquals(before, exchanges.cameAt(), "what it accepts one by one");
+        pass(100 * MS);
+        assertEquals(hand.now(), exchanges.cameAt());
+    }
+
     /** Guards against a wait for the list that is cut short by the end of an earlier one. */
     @Test
     void aSecondWaitForTheListHasItsOwnEnd() {
