The end of the service waits for no more than 3 s of the longest deadline, as SIGKILL does

Cause: ClientServer.drain reckoned its end by the longest deadline of the settings.

Mend: no more than 3 s of it count. What lies unread at that end is read before its connection is closed.

The test takes a request after SIGTERM whose client waits for 6 s; without the mend it has its answer 6,525 ms after SIGTERM.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -515,8 +515,14 @@
         return exchanges.isEmpty() && !input.begun() && !deaf && !output.waits();
     }
 
-    /** Closes it unless a whole request has come that has no answer yet. */
+    /**
+     * Closes it unless a whole request has come that has no answer yet. Danger: what has come and waits unread
+     * has been taken, and closing would lose it; so it is read first.
+     */
     void closeIfNothingIsOpen() {
+        if (exchanges.isEmpty() && channel.isActive() && !deaf) {
+            server.readNow(channel);
+        }
         if (exchanges.isEmpty()) {
             channel.close();
         }
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -26,6 +26,8 @@
     private static final long SETTLE_MILLIS = 20;
     /** SIGKILL comes no sooner after SIGTERM than this and the longest deadline. */
     private static final long GRACE_MILLIS = 700;
+    /** But of a deadline no more than this is waited for. */
+    private static final long LONGEST_WAITED_MILLIS = 3000;
     /** Of that, for the machine to stand still: what SIGKILL finds unanswered is lost. */
     private static final long RESERVE_MILLIS = 200;
     /** At the end of the service, for the last requests and their answers. */
@@ -322,7 +324,9 @@
     public void drain(Runnable whenDrained) {
         draining = true;
         drained = whenDrained;
-        long longest = TimeUnit.NANOSECONDS.toMillis(exchanges.longestDeadline());
+        // Danger: where deadlines are longer SIGKILL does not wait for them, and finds what came after SIGTERM.
+        long longest = Math.min(LONGEST_WAITED_MILLIS,
+                TimeUnit.NANOSECONDS.toMillis(exchanges.longestDeadline()));
         long end = Math.max(STILL_ACCEPTS_MILLIS + LAST_REQUEST_MILLIS,
                 longest + GRACE_MILLIS - RESERVE_MILLIS);
         exchanges.endBy(loop.now() + millis(end));
--- a/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
@@ -451,6 +451,30 @@
         }
     }
 
+    /**
+     * Guards against requests that SIGKILL finds unanswered where a class's clients wait for longer than it is
+     * put off: no more than 3 s of the longest deadline, and 0.7 s.
+     */
+    @Test
+    void whatIsTakenAtTheEndIsAnsweredBeforeSigkillHoweverLongItsClientsWait() throws Exception {
+        CountDownLatch drained = new CountDownLatch(1);
+        try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
+                LoopbackNode host = new LoopbackNode(silent); TestClient kept = host.client()) {
+            long begun = System.nanoTime();
+            host.node.drain(drained::countDown);
+            untilNothingIsAccepted(host);
+            kept.send(TestClient.request("slow", "6.0"));
+            silent.nextRequest();
+            String answer = kept.read();
+            long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+            assertEquals(504, TestClient.status(answer));
+            assertTrue(took < 3700, "SIGKILL may come after 3700 ms, and this took " + took);
+            assertTrue(drained.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+            took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begun);
+            assertTrue(took < 3700, "what comes until SIGKILL needs no one to take it: " + took);
+        }
+    }
+
     private static void untilNothingIsAccepted(LoopbackNode host) throws Exception {
         while (true) {
             try {
