Pushed lists are followed at the agent, peers left alone, an older list not heeded

The configuration was refused, and so the start failed with status 2, wherever lists are pushed or sidecars may speak to one another (Config.parse: "pushed lists, peers and streamed classes are not supported"). Neither is demanded: peers that are told nothing break no rule, and a pushed list is had from the agent by the same watch. What differs is the pace: an agent answers at once or, while discovery is down, not at all, and what it has at its return counts as told at once. So a watch there lasts 1 s, is asked beside 0.25 s later, and a silent agent is asked for all it has about every 0.2 s until it answers (Discovery.Pace).

Also: an answer older than what discovery has told before was taken for news, and would have taken a drain back (Discovery.inTime). It is a failed call now; discovery is then asked for all it has, and believed, for it may have begun anew.

ConfigTest demanded that "automatic" be refused: wrong now; "guessed" takes its place, and a test of what is made of automatic is added.

--- a/sidecar/src/main/java/appleridge/config/Config.java
+++ b/sidecar/src/main/java/appleridge/config/Config.java
@@ -1,6 +1,8 @@
 package appleridge.config;
 
+import appleridge.decision.Balancer.Allowed;
 import appleridge.decision.Balancer.Discovery;
+import appleridge.decision.Balancer.Limits;
 import appleridge.decision.Balancer.RequestClass;
 import appleridge.decision.Balancer.Settings;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -12,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.concurrent.TimeUnit;
 
 /**
  * What a sidecar is told at its start, validated.
@@ -19,6 +22,8 @@
  * @param seed for the module's random numbers; new with each start
  * @param sockets file descriptors that the process may hold
  * @param known the list of upstreams as last had, in discovery's form; may be null
+ * @param settings as the module gets them: a pushed list is one to subscribe to, and no peer is told
+ * @param pushed discovery is an agent on this machine, and what it has counts as told at once
  * @param classes names of the request classes, as clients send them
  * @param tenants names of the tenants, as clients send them
  * @param connIdle nanoseconds after which an upstream closes an idle connection
@@ -27,9 +32,14 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, JsonNode known,
-        Settings settings, List<String> classes, List<String> tenants, List<String> zones,
+        Settings settings, boolean pushed, List<String> classes, List<String> tenants, List<String> zones,
         List<String> kinds, long connIdle, int maxOpen, InetSocketAddress admin) {
     private static final int LEAST_SOCKETS = 64;
+    /**
+     * Nanoseconds within which an agent is asked again. Danger: it says nothing of being back, and what it has
+     * then counts as told, while a drain may have to be heeded in a quarter of a second. Asking costs nothing.
+     */
+    private static final long AGENT_ASKED_WITHIN = TimeUnit.MILLISECONDS.toNanos(100);
 
     /** Reads a configuration file's text; what is missing or senseless is told by an exception's message. */
     public static Config parse(byte[] text) throws IOException {
@@ -54,10 +64,11 @@
         if (connIdle <= 0 || maxOpen <= 0) {
             throw new IllegalArgumentException("caps.connIdle or caps.maxOpen makes no sense");
         }
-        Settings parsed = Options.parse(lines.toString());
-        if (parsed.discovery() != Discovery.SUBSCRIBE || parsed.allowed().peers()
-                || parsed.classes().stream().anyMatch(RequestClass::stream)) {
-            throw new IllegalArgumentException("pushed lists, peers and streamed classes are not supported");
+        Settings told = Options.parse(lines.toString());
+        boolean pushed = told.discovery() == Discovery.AUTOMATIC;
+        Settings parsed = hosted(told, pushed);
+        if (parsed.classes().stream().anyMatch(RequestClass::stream)) {
+            throw new IllegalArgumentException("streamed classes are not supported");
         }
         // Danger: without them a watch would last no time, and a connect would be given up as it begins.
         if (parsed.limits().askWithin() <= 0 || parsed.allowed().connectTimeout() <= 0) {
@@ -65,22 +76,39 @@
         }
         return new Config(text(root, "name"), address(text(root, "listen")),
                 address(text(root, "discovery")), seed(text(root, "seed")), sockets, root.get("known"),
-                parsed, names(settings.path("profiles")),
+                parsed, pushed, names(settings.path("profiles")),
                 names(settings.path("parties")), strings(settings.path("zones")),
                 strings(settings.path("kinds")), connIdle, maxOpen,
                 root.path("admin").asText("").isEmpty() ? null : address(root.path("admin").asText()));
     }
 
+    /**
+     * The settings of a module in a sidecar with sockets: a pushed list has to be asked of the agent by a
+     * watch, as any other is; and this sidecar sends its peers nothing, which settings allow and don't demand.
+     */
+    private static Settings hosted(Settings told, boolean pushed) {
+        Allowed may = told.allowed();
+        Limits rules = told.limits();
+        return new Settings(told.rank(), told.replicas(), told.zone(), told.quantum(), Discovery.SUBSCRIBE,
+                told.weights(), told.classes(), told.tenants(),
+                new Allowed(may.cancel(), may.probes(), false, may.parallelTries(), may.retryAfter(),
+                        may.tryLimit(), may.maxRetryAfter(), may.connectTimeout()),
+                pushed ? new Limits(rules.answerSlack(), AGENT_ASKED_WITHIN, rules.drainGrace(),
+                        rules.coldShare(), rules.rampTime(), rules.overloadFactor(), rules.tipAfter())
+                        : rules,
+                told.reportFields(), told.valueByWork(), told.overShareWorth());
+    }
+
     /** The same with operators calling elsewhere. */
     public Config withAdmin(InetSocketAddress other) {
-        return new Config(name, listen, discovery, seed, sockets, known, settings, classes, tenants, zones,
-                kinds, connIdle, maxOpen, other);
+        return new Config(name, listen, discovery, seed, sockets, known, settings, pushed, classes, tenants,
+                zones, kinds, connIdle, maxOpen, other);
     }
 
     /** The same with clients connecting elsewhere. */
     public Config listeningAt(InetSocketAddress other) {
-        return new Config(name, other, discovery, seed, sockets, known, settings, classes, tenants, zones,
-                kinds, connIdle, maxOpen, admin);
+        return new Config(name, other, discovery, seed, sockets, known, settings, pushed, classes, tenants,
+                zones, kinds, connIdle, maxOpen, admin);
     }
 
     /** What differs in another configuration and can't be taken over while the sidecar runs. */
@@ -90,7 +118,7 @@
         same.put("listen", listen.equals(other.listen));
         same.put("admin", Objects.equals(admin, other.admin));
         same.put("limits", sockets == other.sockets);
-        same.put("settings", settings.equals(other.settings) && classes.equals(other.classes)
+        same.put("settings", settings.equals(other.settings) && pushed == other.pushed && classes.equals(other.classes)
                 && tenants.equals(other.tenants) && zones.equals(other.zones) && kinds.equals(other.kinds)
                 && connIdle == other.connIdle && maxOpen == other.maxOpen);
         return same.keySet().stream().filter(part -> !same.get(part)).toList();
--- a/sidecar/src/main/java/appleridge/daemon/SourceFactory.java
+++ b/sidecar/src/main/java/appleridge/daemon/SourceFactory.java
@@ -17,6 +17,7 @@
     static ListSource registry(Loop loop, Sockets sockets, Config config, ListSink sink) {
         return new Discovery(loop, sockets, config.discovery(), config.known(),
                 new RegistryList(config.zones(), config.kinds()), sink,
-                config.settings().limits().askWithin());
+                config.pushed() ? Discovery.Pace.AGENT
+                        : Discovery.Pace.asked(config.settings().limits().askWithin()));
     }
 }
--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -21,12 +21,38 @@
  * failure is the module's to say: it is told of each and subscribes again.
  */
 public final class Discovery implements ListSource, RegistryConnection.Caller {
-    /** The protocol's longest wait. */
-    private static final long LONGEST_WATCH = TimeUnit.SECONDS.toNanos(60);
-    /** What a call may take beyond its wait; discovery itself gives a call up after two seconds. */
-    private static final long PATIENCE = TimeUnit.SECONDS.toNanos(3);
-    /** What a watch may take beyond its wait before it is asked again beside it. */
-    private static final long LATE = TimeUnit.MILLISECONDS.toNanos(500);
+    /**
+     * How long what is asked may take, in nanoseconds.
+     *
+     * @param watch a watch without news
+     * @param late what a watch may take beyond that before discovery is asked beside it
+     * @param patience a call that need not wait
+     * @param wholeAgain what has failed is followed by a call for the whole list, which need not wait, and not
+     *     by a watch
+     */
+    public record Pace(long watch, long late, long patience, boolean wholeAgain) {
+        /**
+         * Where an agent on the same machine has what is pushed. It answers at once or, while what is behind
+         * it is down, not at all; and when it is back what it has counts as told, by whatever call.
+         */
+        public static final Pace AGENT = new Pace(TimeUnit.SECONDS.toNanos(1),
+                TimeUnit.MILLISECONDS.toNanos(250), TimeUnit.MILLISECONDS.toNanos(150), true);
+        /** The protocol's longest wait. */
+        private static final long LONGEST_WATCH = TimeUnit.SECONDS.toNanos(60);
+
+        /**
+         * Where one service is asked by all, which gives a call up after two seconds itself. Danger: a watch
+         * that discovery has lost looks like one without news until its time is over, and all that is
+         * replaced meanwhile is missed. Short ones cost discovery a few calls more.
+         *
+         * @param within nanoseconds in which discovery has to be asked at least once
+         */
+        public static Pace asked(long within) {
+            return new Pace(Math.min(LONGEST_WATCH, within / 4), TimeUnit.MILLISECONDS.toNanos(500),
+                    TimeUnit.SECONDS.toNanos(3), false);
+        }
+    }
+
     private static final String LIST = "/registry/instances";
 
     private final Loop loop;
@@ -36,7 +62,7 @@
     private final RegistryList lists;
     private final ListSink sink;
     private final ObjectMapper json = new ObjectMapper();
-    private final long watchMillis;
+    private final Pace pace;
     private RegistryConnection connection;
     /** A watch whose answer is overdue: still listened to, while another one asks. */
     private RegistryConnection overdue;
@@ -50,22 +76,16 @@
     /** What the overdue watch has told; what was asked beside it may be older. */
     private long overdueRevision = Long.MIN_VALUE;
 
-    /**
-     * With the list that the sidecar was given, in discovery's form; may be null.
-     *
-     * @param askWithin nanoseconds in which discovery has to be asked at least once
-     */
+    /** With the list that the sidecar was given, in discovery's form; may be null. */
     public Discovery(Loop loop, Sockets sockets, InetSocketAddress address, JsonNode known,
-            RegistryList lists, ListSink sink, long askWithin) {
+            RegistryList lists, ListSink sink, Pace pace) {
         this.loop = loop;
         this.sockets = sockets;
         this.address = address;
         this.known = known;
         this.lists = lists;
         this.sink = sink;
-        // Danger: a watch that discovery has lost looks like one without news until its time is over, and all
-        // that is replaced meanwhile is missed. Short ones cost discovery a few calls more.
-        this.watchMillis = TimeUnit.NANOSECONDS.toMillis(Math.min(LONGEST_WATCH, askWithin / 4));
+        this.pace = pace;
     }
 
     @Override
@@ -130,12 +150,12 @@
     }
 
     private void watch() {
-        if (wholeFirst) {
+        if (wholeFirst || failing && pace.wholeAgain) {
             call(LIST, 0);
             return;
         }
-        call(LIST + "?since=" + revision + "&timeout_ms=" + watchMillis,
-                TimeUnit.MILLISECONDS.toNanos(watchMillis));
+        long millis = TimeUnit.NANOSECONDS.toMillis(pace.watch);
+        call(LIST + "?since=" + revision + "&timeout_ms=" + millis, TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
     private void call(String uri, long wait) {
@@ -148,10 +168,10 @@
         }
         connection.call(uri);
         if (wait > 0) {
-            timeout = loop.after(wait + LATE, this::askBeside);
+            timeout = loop.after(wait + pace.late, this::askBeside);
         } else {
             // Danger: a machine that vanished says nothing, and would be waited for without end.
-            timeout = loop.after(wait + PATIENCE, () -> failed(connection, "no answer in time"));
+            timeout = loop.after(wait + pace.patience, () -> failed(connection, "no answer in time"));
         }
     }
 
@@ -187,11 +207,15 @@
     /** The watch that another call was to make up for has its answer after all. */
     private void late(JsonNode list) {
         RegistryList.Update update = lists.read(list);
-        if (!wholeFirst) {
+        boolean old = update.revision() < revision && !wholeFirst;
+        if (!wholeFirst && !old) {
             revision = update.revision();
             overdueRevision = revision;
         }
         dropOverdue();
+        if (old) {
+            return;
+        }
         // Danger: the module takes any news for a subscription that stands, and would not subscribe again.
         if (!calling) {
             goOn();
@@ -208,6 +232,13 @@
             return;
         }
         RegistryList.Update update = lists.read(list);
+        if (update.revision() < revision && !wholeFirst) {
+            // Danger: whoever answers with less than it has told may take back a drain. One that began anew
+            // says so again when asked for all it has, and is believed then.
+            wholeFirst = true;
+            failed(connection, "a list older than the last one: " + update.revision());
+            return;
+        }
         done();
         dropOverdue();
         revision = update.revision();
--- a/sidecar/src/test/java/appleridge/config/ConfigTest.java
+++ b/sidecar/src/test/java/appleridge/config/ConfigTest.java
@@ -1,6 +1,7 @@
 package appleridge.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -24,7 +25,7 @@
     @Test
     void nestedSettingsAreThoseOfTheWire() throws Exception {
         Config config = parse(GOOD.replace("\"acme\"", "\"acme, and sons\""));
-        assertEquals(List.of("read", "write", "hold", "pay"), config.classes());
+        assertEquals(List.of("read", "write", "hold", "pay", "slow"), config.classes());
         assertEquals(List.of("acme, and sons"), config.tenants());
         assertEquals(List.of("a", "b"), config.zones());
         assertEquals(Semantics.ONCE, config.settings().classes().get(3).semantics());
@@ -33,6 +34,21 @@
         assertEquals(0x8c1f30d27a5be964L, config.seed());
     }
 
+    /** Guards against a customer whose lists are pushed, or whose sidecars may speak: none of it is demanded. */
+    @Test
+    void pushedListsAreFollowedAndPeersLeftAlone() throws Exception {
+        String pushed = GOOD.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"")
+                .replace("\"askWithin\":1000000000,", "")
+                .replace("\"mayCancel\":true", "\"mayCancel\":true,\"peers\":true");
+        Config config = parse(pushed);
+        assertTrue(config.pushed());
+        assertEquals(Discovery.SUBSCRIBE, config.settings().discovery(), "the agent has to be asked");
+        assertFalse(config.settings().allowed().peers());
+        assertTrue(config.settings().allowed().cancel());
+        assertFalse(parse(GOOD).pushed());
+        assertEquals(List.of("settings"), parse(GOOD).fixedParts(config));
+    }
+
     @Test
     void whatMakesNoSenseIsNamed() {
         Map<String, String> spoilt = new LinkedHashMap<>(Map.of(
@@ -40,7 +56,7 @@
                 "\"listen\":\"127.0.0.1:1\"", "\"listen\":\"127.0.0.1\"",
                 "\"discovery\":\"127.0.0.1:8500\"", "\"discovery\":\"127.0.0.1:99999\"",
                 "\"name\":\"n0\"", "\"name\":\"\"",
-                "\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"",
+                "\"discovery\":\"subscribe\"", "\"discovery\":\"guessed\"",
                 "\"sockets\":1024", "\"sockets\":3",
                 "\"connIdle\":10000000000", "\"connIdle\":0",
                 "\"coldShare\":0.4", "\"coldShare\":7",
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -182,4 +184,109 @@
             assertTrue(second.startsWith("GET /registry/instances?since=5&"), second);
         }
     }
+
+    private static String pushed(String json) {
+        return json.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"")
+                .replaceAll("\"askWithin\":[0-9]*,", "");
+    }
+
+    /** An agent that answers with what it has, at once or when that changes; or not at all. */
+    private static final class Agent implements StubUpstream.Script {
+        private String list;
+        private long revision;
+        private boolean silent;
+
+        synchronized void has(long version, String... targets) {
+            revision = version;
+            list = LoopbackNode.list(version, true, targets);
+            notifyAll();
+        }
+
+        synchronized void silent(boolean now) {
+            silent = now;
+            notifyAll();
+        }
+
+        @Override
+        public synchronized boolean serve(Socket socket, String request) throws IOException,
+                InterruptedException {
+            int since = request.indexOf("since=");
+            if (silent) {
+                return true;
+            }
+            if (since >= 0) {
+                long known = Long.parseLong(request.substring(since + 6, request.indexOf('&', since)));
+                long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(1000);
+                while (known >= revision && !silent && until - System.nanoTime() > 0) {
+                    wait(10);
+                }
+            }
+            if (!silent) {
+                StubUpstream.write(socket, StubUpstream.answer("200 OK", list));
+            }
+            return true;
+        }
+    }
+
+    private static void untilAsked(StubUpstream agent, String how) throws Exception {
+        while (!agent.nextRequest().startsWith("GET /registry/instances" + how)) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /**
+     * Guards against a start that fails where lists are pushed: the agent that has them is watched. And
+     * against an agent's return that is noticed late: while discovery is down it says nothing, and nothing
+     * tells that it is back, but what it has then counts as told at once. So it is asked for all it has, over
+     * and over; here five times before it is back.
+     */
+    @Test
+    void aPushedListIsWatchedAtTheAgentAndASilentAgentAskedUntilItIsBack() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD)) {
+            Agent agent = new Agent();
+            agent.has(1, LoopbackNode.targets(one, two));
+            try (StubUpstream there = new StubUpstream(agent); LoopbackNode host = new LoopbackNode(
+                    Figures.USUAL, null, json -> pushed(json).replaceAll("\"discovery\":\"127[^\"]*\"",
+                            "\"discovery\":\"" + there.address() + "\""), LoopbackNode.targets(one, two))) {
+                untilAsked(there, "?since=1&");
+                agent.has(2, LoopbackNode.target("u1", two.address(), "Ready"));
+                untilAsked(there, "?since=2&");
+                assertServed(host, two, one);
+                agent.silent(true);
+                untilAsked(there, " HTTP");
+                long silent = System.nanoTime();
+                for (int i = 0; i < 5; i++) {
+                    untilAsked(there, " HTTP");
+                }
+                long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silent);
+                assertTrue(took < 2500, "five calls took " + took);
+                assertServed(host, two, one);
+                agent.has(3, LoopbackNode.target("u0", one.address(), "Ready"));
+                agent.silent(false);
+                untilAsked(there, "?since=3&");
+                assertServed(host, one, two);
+            }
+        }
+    }
+
+    /**
+     * Guards against a drain taken back by whoever answers with less than it has told. One that has begun
+     * anew, and so counts from the beginning, is believed when it says so to who asks for all it has.
+     */
+    @Test
+    void anOlderListIsNotHeededUnlessItIsAllThereIs() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                LoopbackNode host = new LoopbackNode(one, two)) {
+            watchSince(host, 1);
+            host.tell(LoopbackNode.list(7, true, LoopbackNode.target("u0", one.address(), "Terminating"),
+                    LoopbackNode.target("u1", two.address(), "Ready")));
+            watchSince(host, 7);
+            host.tell(LoopbackNode.list(6, true, LoopbackNode.targets(one, two)));
+            assertTrue(host.discovery.nextRequest().startsWith("GET /registry/instances HTTP"), "all it has");
+            assertServed(host, two, one);
+            host.tell(LoopbackNode.list(3, true, LoopbackNode.target("u0", one.address(), "Ready")));
+            watchSince(host, 3);
+            assertServed(host, one, two);
+        }
+    }
 }
--- a/sidecar/src/test/java/appleridge/daemon/LoopbackNode.java
+++ b/sidecar/src/test/java/appleridge/daemon/LoopbackNode.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 /** One real sidecar in this process, with scripted upstreams and discovery, all on ephemeral ports. */
 public final class LoopbackNode implements AutoCloseable {
@@ -67,11 +68,17 @@
 
     /** The same; operators call at an address, or nowhere if that is null. */
     public LoopbackNode(Figures figures, InetSocketAddress admin, String... targets) throws Exception {
-        String json = json(figures, discovery.address(), targets);
+        this(figures, admin, json -> json, targets);
+    }
+
+    /** The same with the configuration's text changed. */
+    public LoopbackNode(Figures figures, InetSocketAddress admin, UnaryOperator<String> changed,
+            String... targets) throws Exception {
+        String json = changed.apply(json(figures, discovery.address(), targets));
         Config config = Config.parse(new ObjectMapper().readTree(json)).withAdmin(admin);
         InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         node = Serve.start(new Config(config.name(), anyPort, config.discovery(), config.seed(),
-                config.sockets(), config.known(), config.settings(),
+                config.sockets(), config.known(), config.settings(), config.pushed(),
                 config.classes(), config.tenants(), config.zones(), config.kinds(), config.connIdle(),
                 config.maxOpen(), config.admin()), Tuning.USUAL.with(figures.times));
     }
