A request whose client has left while it waited is not sent on, whatever the loop read first

Nothing of it has gone out, so it is abandoned and ends as never sent, and no longer counts as a ghost at its server where cancelling is allowed either. - After the loop was late by 150 to 500 ms a request on a kept connection was taken without a look at the end behind it (ClientConnection.take asked hasJustStoodStill, 500 ms): over 0.3 s passed so. It asks mayHaveWaited now. - What lets a held request go on, an answer that makes room, was read ahead of the client's end after a late turn. A late beat now looks after all clients first (Front.look), as it does after the list. Failed try: reading alone was not enough, for Netty tells a connection's end only in a later task; so the hang-up is run at once. A list is caught up with after a stand-still of half of what drains allow, where that is less than 500 ms: with 250 ms a request read ahead of a drain told 300 ms before was sent to it.

Ruled out: a connection closed between the moment it is up and the moment that is told (UpstreamPool.connect). Feared to hang its request until its deadline; forced in a test, which passes without any change, for the end is told after it.

LeavingClientTest covers what the module holds, what waits behind an earlier request of its connection, between attempts, for a connection, unread behind a stand-still, and held while room comes in one; by FIN and RST, alone and in bursts of eight.

--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -25,7 +25,7 @@
  * and the module one outcome for each send. Everything runs on one thread, and time comes in from outside.
  */
 public final class Exchanges implements Actions {
-    /** A beat that is missed by so much tells that the thread stood still. */
+    /** The longest stand-still of the thread that is not looked after; half of what drains allow, if less. */
     private static final long STOOD_STILL = TimeUnit.MILLISECONDS.toNanos(500);
     /**
      * A beat that is missed by so much tells that the thread was late: it is looked after each 100 ms. For as
@@ -45,6 +45,8 @@
     private final Timers timers;
     private final Settings settings;
     private final int maxOpen;
+    /** A beat that is missed by so much tells that the thread stood still. */
+    private final long stoodStill;
     private final Upstreams upstreams;
     private final Log log;
     private final Balancer balancer;
@@ -85,6 +87,7 @@
         this.timers = timers;
         this.settings = settings;
         this.maxOpen = maxOpen;
+        this.stoodStill = Math.min(STOOD_STILL, Math.max(LATE, settings.limits().drainGrace() / 2));
         this.upstreams = upstreams;
         this.log = log;
         this.beat = time.now();
@@ -196,22 +199,23 @@
     }
 
     /**
-     * To be called now and then, at least some times as often as {@code STOOD_STILL}. Danger: after the
+     * To be called now and then, at least some times as often as a stand-still is long. Danger: after the
      * thread stood still, what discovery told meanwhile waits unread behind requests that have come too, and
      * the time within which it must be heeded has run. All that comes from outside begins with this, ahead of
      * anything it changes here: the module may act on what is read, and must find things as it knows them.
      */
     public void beat() {
         long now = time.now();
-        boolean stoodStill = now - beat > STOOD_STILL;
-        if (stoodStill) {
+        boolean late = now - beat > LATE;
+        boolean stood = now - beat > stoodStill;
+        if (stood) {
             if (now - beat > settings.limits().drainGrace() && unheard == null) {
                 unheard = new ArrayList<>();
                 listAwaited = timers.at(now + LIST_AWAITED, this::hear);
             }
             stoodStillUntil = now;
         }
-        if (now - beat > LATE) {
+        if (late) {
             // Danger: late again so soon, it has not come to the end of what came before: connections are
             // accepted four at a time, and a new one's request is looked at one turn later.
             // But one that is late for good has come to it, or all that is read would be too old.
@@ -221,10 +225,13 @@
             lateUntil = now;
         }
         beat = now;
-        if (stoodStill && lists != null && !catchingUp) {
+        if (late && lists != null && !catchingUp) {
             catchingUp = true;
             try {
-                lists.catchUp();
+                if (stood) {
+                    lists.catchUp();
+                }
+                lookAfterClients();
             } finally {
                 catchingUp = false;
             }
@@ -232,12 +239,24 @@
     }
 
     /**
-     * Whether what is read from clients now may have waited unread while the thread stood still. Danger: its
-     * client may have given up long since, and it would be sent as if it had just come.
+     * Danger: while the thread was late clients have left, and what lets their requests go on, an answer that
+     * makes room or a connection that comes up, may be read ahead of their end.
+     */
+    private void lookAfterClients() {
+        for (Call call : List.copyOf(calls.values())) {
+            if (!call.over) {
+                call.client.look();
+            }
+        }
+    }
+
+    /**
+     * Whether what is read from clients now may have waited unread while the thread was late or stood still.
+     * Danger: its client may have given up since, and it would be sent as if it had just come.
      */
-    public boolean hasJustStoodStill() {
+    public boolean mayHaveWaited() {
         beat();
-        return beat - stoodStillUntil < AFTERMATH;
+        return beat - stoodStillUntil < AFTERMATH || beat - lateUntil < LATE;
     }
 
     /**
@@ -309,6 +328,7 @@
     private void giveUp(Call call) {
         beat();
         fail(call, Front.Cause.LATE);
+        callOffWhatNobodyWaitsFor(call);
         callOffWhatTheModuleLeaves(call);
         tell(() -> balancer.hangup(time.now(), call.id));
     }
@@ -317,6 +337,7 @@
         beat();
         if (!call.over) {
             end(call, Tally.End.LEFT);
+            callOffWhatNobodyWaitsFor(call);
             callOffWhatTheModuleLeaves(call);
             tell(() -> balancer.hangup(time.now(), call.id));
         }
@@ -577,6 +598,20 @@
         }
     }
 
+    /**
+     * Danger: an attempt that waits for its connection would be sent when that is there, long after its client
+     * has left. The module may not be allowed to cancel; but of this one nothing has gone out, so it ends as
+     * never sent, and takes no room at its upstream for work that might still be done there.
+     */
+    private void callOffWhatNobodyWaitsFor(Call call) {
+        for (Attempt attempt : call.attempts) {
+            if (!attempt.done && attempt.sending != null && !attempt.sending.begun()) {
+                attempt.sending.abandon();
+                timers.soon(() -> ended(attempt, Outcome.NEVER_SENT, null));
+            }
+        }
+    }
+
     /** What has begun to go out is not the module's any more, and is not cancelled by it. */
     private void callOffWhatTheModuleLeaves(Call call) {
         if (call.answering != null || call.letGo) {
--- a/sidecar/src/main/java/appleridge/exchange/Front.java
+++ b/sidecar/src/main/java/appleridge/exchange/Front.java
@@ -2,6 +2,12 @@
 
 /** Takes a request's one final answer and words it as its protocol does. */
 public interface Front {
+    /**
+     * Takes in, before this returns, what its client has sent and whether it has left, as far as either is
+     * there and was not read yet.
+     */
+    void look();
+
     /** Why a request failed. */
     enum Cause {
         /** Its time was up. */
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -290,7 +290,7 @@
         }
         try {
             ClientRequest read = server.reader().read(request, content, server.exchanges().cameAt());
-            if (first || server.exchanges().hasJustStoodStill()) {
+            if (first || server.exchanges().mayHaveWaited()) {
                 server.loop().soon(() -> acceptIfThere(read, exchange));
             } else {
                 exchange.hangUp = server.exchanges().accept(read, exchange);
@@ -627,6 +627,17 @@
             return response != null || flow != null && (!begun || flowed);
         }
 
+        @Override
+        public void look() {
+            if (channel.isActive() && channel.config().isAutoRead() && !input.delivering()) {
+                server.readNow(channel);
+            }
+            if (!channel.isActive()) {
+                // Danger: that a connection has ended is told to its handlers only in a later task.
+                hangUp.run();
+            }
+        }
+
         @Override
         public void flows(Flow answer) {
             flow = (HttpFlow) answer;
--- /dev/null
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -0,0 +1,381 @@
+package appleridge.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import appleridge.config.Config;
+import appleridge.decision.SymmetricRoundRobin;
+import appleridge.exchange.Books;
+import appleridge.transport.Loop;
+import appleridge.transport.NioSockets;
+import appleridge.transport.SystemLog;
+import appleridge.transport.SystemTime;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * What waits when its client leaves is not sent on: for each way of waiting, and for each way of leaving. The
+ * order of events is forced by upstreams that answer when they are told to, and by a loop that is held still.
+ */
+@Timeout(60)
+class LeavingClientTest {
+    private static final StubUpstream.Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+    /** Each in turn: one client or a burst of them, that end their connection or reset it. */
+    private static final List<Leaving> WAYS = List.of(new Leaving(1, false), new Leaving(1, true),
+            new Leaving(8, false), new Leaving(8, true));
+
+    /** How many clients leave, and how. */
+    private record Leaving(int clients, boolean resets) {
+        void leave(List<TestClient> all) throws IOException {
+            for (TestClient each : all) {
+                if (resets) {
+                    each.socket.setSoLinger(true, 0);
+                }
+                each.close();
+            }
+        }
+    }
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private Node node;
+    private InetSocketAddress address;
+
+    @AfterEach
+    void end() throws Exception {
+        if (node != null) {
+            closeNode();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private void closeNode() throws Exception {
+        loop.submit(() -> node.close()).get();
+        node = null;
+    }
+
+    private void begin(StubUpstream discovery, UnaryOperator<String> changed, String... targets)
+            throws Exception {
+        String json = changed.apply(LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(), targets));
+        Config config = Config.parse(new ObjectMapper().readTree(json))
+                .listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Loop time = new Loop(loop, SystemTime.UNIX_MILLIS,
+                new SystemLog(loop.ticker()::nanoTime, System.Logger.Level.INFO));
+        node = loop.submit(() -> new Node(time, new NioSockets(), config, Tuning.USUAL,
+                SymmetricRoundRobin::new)).get();
+        address = (InetSocketAddress) node.listening().sync().channel().localAddress();
+    }
+
+    private <T> T onLoop(Callable<T> what) {
+        try {
+            return loop.submit(what).get();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Books books() {
+        return onLoop(() -> node.books());
+    }
+
+    private static void await(String what, BooleanSupplier holds) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LoopbackNode.PATIENCE_SECONDS);
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(1);
+        }
+    }
+
+    private List<TestClient> ask(int many, String requestClass) throws Exception {
+        List<TestClient> clients = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            TestClient client = new TestClient(address);
+            client.send(TestClient.request(requestClass, "3.0"));
+            clients.add(client);
+        }
+        return clients;
+    }
+
+    /** What is asked after all others have left is the next thing that the upstream gets; it may be refused. */
+    private void nothingIsSentBefore(String last, StubUpstream upstream) throws Exception {
+        try (TestClient client = new TestClient(address)) {
+            String answer = client.ask(TestClient.request("read", "3.0", "X-Name: " + last));
+            while (TestClient.status(answer) == 503) {
+                answer = client.ask(TestClient.request("read", "3.0", "X-Name: " + last));
+            }
+            assertEquals(200, TestClient.status(answer), answer);
+        }
+        assertEquals(last, StubUpstream.header(upstream.nextRequest(), "x-name"));
+        assertEquals(0, upstream.requests.size());
+    }
+
+    private static StubUpstream.Script after(CountDownLatch gate) {
+        return (socket, request) -> {
+            gate.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+            return GOOD.serve(socket, request);
+        };
+    }
+
+    /** Guards against work in vain: what the module holds goes with its client. */
+    @Test
+    void whatTheModuleHoldsIsNotSent() throws Exception {
+        for (Leaving way : WAYS) {
+            CountDownLatch gate = new CountDownLatch(1);
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream upstream = new StubUpstream(after(gate))) {
+                begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                List<TestClient> busy = ask(2, "read");
+                upstream.nextRequest();
+                upstream.nextRequest();
+                List<TestClient> leaving = ask(way.clients, "read");
+                await("held", () -> books().open() == 2 + way.clients);
+                assertEquals(2, books().attempts());
+                way.leave(leaving);
+                await("gone", () -> books().open() == 2);
+                gate.countDown();
+                for (TestClient each : busy) {
+                    assertEquals(200, TestClient.status(each.read()));
+                    each.close();
+                }
+                nothingIsSentBefore("last", upstream);
+                closeNode();
+            }
+        }
+    }
+
+    /** Guards against a request of the same connection that waits behind one that is out. */
+    @Test
+    void whatWaitsBehindAnEarlierRequestOfItsConnectionIsNotSent() throws Exception {
+        for (Leaving way : WAYS) {
+            CountDownLatch gate = new CountDownLatch(1);
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream upstream = new StubUpstream(after(gate))) {
+                begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                List<TestClient> busy = ask(1, "read");
+                upstream.nextRequest();
+                List<TestClient> leaving = ask(1, "read");
+                upstream.nextRequest();
+                for (int i = 1; i < way.clients; i++) {
+                    leaving.addAll(ask(1, "read"));
+                }
+                for (TestClient each : leaving) {
+                    each.send(TestClient.request("read", "3.0"));
+                }
+                await("held", () -> books().open() == 1 + 2 * way.clients);
+                way.leave(leaving);
+                await("gone", () -> books().open() == 1 && books().attempts() == 1);
+                gate.countDown();
+                assertEquals(200, TestClient.status(busy.get(0).read()));
+                busy.get(0).close();
+                nothingIsSentBefore("last", upstream);
+                closeNode();
+            }
+        }
+    }
+
+    /** Guards against a further attempt for nobody: the first one fails, and the second waits for room. */
+    @Test
+    void whatWaitsBetweenTwoAttemptsIsNotSent() throws Exception {
+        for (Leaving way : new Leaving[] {new Leaving(1, false), new Leaving(1, true)}) {
+            CountDownLatch gate = new CountDownLatch(1);
+            CountDownLatch fails = new CountDownLatch(1);
+            StubUpstream.Script error = (socket, request) -> {
+                fails.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                StubUpstream.write(socket, StubUpstream.answer("500 Internal Server Error", ""));
+                return true;
+            };
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream full = new StubUpstream(after(gate));
+                    StubUpstream failing = new StubUpstream(StubUpstream.firstThen(new CountDownLatch(1), error,
+                            GOOD))) {
+                begin(discovery, json -> json, LoopbackNode.targets(full, failing));
+                List<TestClient> busy = new ArrayList<>();
+                TestClient leaves = null;
+                // Whichever each one comes to: two fill the one, and one is to fail at the other.
+                while (full.requests.size() < 2 || leaves == null) {
+                    int before = failing.requests.size();
+                    TestClient client = ask(1, "read").get(0);
+                    int out = busy.size() + (leaves == null ? 0 : 1) + 1;
+                    await("sent", () -> full.requests.size() + failing.requests.size() == out);
+                    if (leaves == null && failing.requests.size() > before) {
+                        leaves = client;
+                    } else {
+                        busy.add(client);
+                    }
+                }
+                int open = busy.size() + 1;
+                assertEquals(open, books().attempts());
+                int atFailing = failing.requests.size();
+                fails.countDown();
+                await("failed", () -> books().attempts() < open);
+                way.leave(List.of(leaves));
+                await("gone", () -> books().open() < open);
+                gate.countDown();
+                for (TestClient each : busy) {
+                    assertEquals(200, TestClient.status(each.read()));
+                    each.close();
+                }
+                assertEquals(2, full.requests.size(), "and no further attempt");
+                assertEquals(atFailing, failing.requests.size());
+                closeNode();
+            }
+        }
+    }
+
+    /**
+     * Guards against an attempt that is sent when its connection comes up, long after its client has left:
+     * also where the settings allow no cancelling, for of this one nothing has gone out.
+     */
+    @Test
+    void whatWaitsForItsConnectionIsNotSent() throws Exception {
+        for (String cancels : new String[] {"true", "false"}) {
+            for (Leaving way : new Leaving[] {new Leaving(1, false), new Leaving(1, true)}) {
+                try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                        ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                    List<Socket> waiting = fill(full);
+                    begin(discovery, json -> json.replace("\"mayCancel\":true", "\"mayCancel\":" + cancels)
+                            .replace("\"connectTimeout\":500000000", "\"connectTimeout\":60000000000")
+                            .replace("\"deadline\":3000000000", "\"deadline\":60000000000"),
+                            LoopbackNode.target("u0", "127.0.0.1:" + full.getLocalPort(), "Ready"));
+                    TestClient client = new TestClient(address);
+                    client.send(TestClient.request("read", "60.0"));
+                    await("connecting", () -> onLoop(() -> node.upstreams()) == 1);
+                    way.leave(List.of(client));
+                    await("its client has left, and it still connects",
+                            () -> onLoop(() -> node.upstreams()) == 0);
+                    assertEquals(0, books().calls());
+                    for (Socket each : waiting) {
+                        each.close();
+                    }
+                    closeNode();
+                }
+            }
+        }
+    }
+
+    /** Connects until the system takes no more. */
+    private static List<Socket> fill(ServerSocket listener) throws IOException {
+        List<Socket> all = new ArrayList<>();
+        while (true) {
+            Socket socket = new Socket();
+            try {
+                socket.connect(listener.getLocalSocketAddress(), 200);
+                all.add(socket);
+            } catch (SocketTimeoutException e) {
+                socket.close();
+                return all;
+            }
+        }
+    }
+
+    /**
+     * Guards against a request that is read ahead of its connection's end: both waited while the loop stood
+     * still, for longer than a client's leaving may go unnoticed, though for no longer than half a second.
+     */
+    @Test
+    void whatWaitedUnreadWhileTheLoopStoodStillIsNotSent() throws Exception {
+        for (long still : new long[] {320, 700}) {
+            for (Leaving way : WAYS) {
+                try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                        StubUpstream upstream = new StubUpstream(GOOD)) {
+                    begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                    List<TestClient> clients = new ArrayList<>();
+                    for (int i = 0; i < way.clients; i++) {
+                        TestClient client = new TestClient(address);
+                        assertEquals(503, TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")));
+                        clients.add(client);
+                    }
+                    CountDownLatch left = standStill(still);
+                    for (TestClient each : clients) {
+                        each.send(TestClient.request("read", "3.0"));
+                    }
+                    way.leave(clients);
+                    left.countDown();
+                    await("gone", () -> onLoop(() -> node.clients()) == 0);
+                    nothingIsSentBefore("last", upstream);
+                    closeNode();
+                }
+            }
+        }
+    }
+
+    /**
+     * The same for what lets a request go on: the answers that make room for those that are held come while
+     * the loop stands still, and then their clients leave.
+     */
+    @Test
+    void whatIsHeldIsNotSentWhereRoomCameWhileTheLoopStoodStill() throws Exception {
+        for (Leaving way : WAYS) {
+            CountDownLatch gate = new CountDownLatch(1);
+            CountDownLatch answered = new CountDownLatch(2);
+            StubUpstream.Script script = (socket, request) -> {
+                after(gate).serve(socket, request);
+                answered.countDown();
+                return true;
+            };
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream upstream = new StubUpstream(script)) {
+                begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                List<TestClient> busy = ask(2, "read");
+                upstream.nextRequest();
+                upstream.nextRequest();
+                List<TestClient> leaving = ask(way.clients, "read");
+                await("held", () -> books().open() == 2 + way.clients);
+                CountDownLatch left = standStill(320);
+                gate.countDown();
+                assertTrue(answered.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                way.leave(leaving);
+                left.countDown();
+                for (TestClient each : busy) {
+                    assertEquals(200, TestClient.status(each.read()));
+                    each.close();
+                }
+                await("gone", () -> books().open() == 0);
+                nothingIsSentBefore("last", upstream);
+                closeNode();
+            }
+        }
+    }
+
+    /** The loop stands still from before this returns until what it returns is counted down, and so long. */
+    private CountDownLatch standStill(long millis) throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            begun.countDown();
+            stand(over, millis);
+        });
+        assertTrue(begun.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+        return over;
+    }
+
+    /** Holds the loop until all have left, and for so many milliseconds at least. */
+    private static void stand(CountDownLatch left, long millis) {
+        try {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+            left.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+            Thread.sleep(Math.max(1, TimeUnit.NANOSECONDS.toMillis(until - System.nanoTime())));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
+++ b/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
@@ -114,6 +114,9 @@
     private static class Client implements Front {
         final List<String> answers = new ArrayList<>();
 
+        @Override
+        public void look() { }
+
         @Override
         public void served(Reply reply) {
             answers.add("served");
@@ -324,13 +327,13 @@
     @Test
     void whatMayHaveWaitedWhileTheThreadStoodStillIsKnownForAWhile() {
         pass(300 * MS);
-        assertFalse(exchanges.hasJustStoodStill());
+        assertFalse(exchanges.mayHaveWaited());
         hand.standStill(3_600_000 * MS);
-        assertTrue(exchanges.hasJustStoodStill());
+        assertTrue(exchanges.mayHaveWaited());
         pass(900 * MS);
-        assertTrue(exchanges.hasJustStoodStill());
+        assertTrue(exchanges.mayHaveWaited());
         pass(200 * MS);
-        assertFalse(exchanges.hasJustStoodStill(), "however long it was");
+        assertFalse(exchanges.mayHaveWaited(), "however long it was");
     }
 
     /** Guards against answers that come as much too late as the thread was late to read what was asked. */
--- a/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
+++ b/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
@@ -22,11 +22,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.nio.NioIoOps;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -45,6 +48,20 @@
             new DefaultHttpHeaders(), new byte[0]);
     private static final Window ALWAYS = new Window(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
 
+    /** Where the system may have a connection up at once, or a moment later, this one always has it at once. */
+    private static final class ConnectsAtOnce extends NioSocketChannel {
+        @Override
+        protected boolean doConnect(SocketAddress remote, SocketAddress local) throws Exception {
+            if (!super.doConnect(remote, local)) {
+                while (!javaChannel().finishConnect()) {
+                    Thread.onSpinWait();
+                }
+                removeAndSubmit(NioIoOps.CONNECT);
+            }
+            return true;
+        }
+    }
+
     private record Result(Outcome outcome, HttpReply reply) { }
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -221,6 +238,50 @@
         }
     }
 
+    /**
+     * Guards against a request given to a connection that its upstream has closed between the two moments in
+     * which it came up and was told of: nothing was ever heard of it again. The end is read in between here.
+     */
+    @Test
+    void whatIsClosedBeforeItIsToldOfCarriesNothing() throws Exception {
+        BlockingQueue<Channel> made = new LinkedBlockingQueue<>();
+        NioSockets usual = new NioSockets();
+        Sockets watched = new Sockets() {
+            @Override
+            public Channel connecting() {
+                Channel channel = new ConnectsAtOnce();
+                made.add(channel);
+                return channel;
+            }
+
+            @Override
+            public ServerChannel listening() {
+                return usual.listening();
+            }
+
+            @Override
+            public void readNow(Channel channel) {
+                usual.readNow(channel);
+            }
+        };
+        UpstreamPool pool = new UpstreamPool(time, watched, TimeUnit.SECONDS.toNanos(1),
+                TimeUnit.SECONDS.toNanos(10), TimeUnit.MILLISECONDS.toNanos(200), 2);
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.SILENT)) {
+            loop.submit(() -> {
+                send(pool, endpoint(1, upstream));
+                upstream.accepted.take().close();
+                Channel channel = made.take();
+                while (channel.isActive()) {
+                    usual.readNow(channel);
+                }
+                return null;
+            }).get();
+            assertEquals(Outcome.CONNECT_FAILED, next().outcome());
+            assertEquals(0, loop.submit(pool::connections).get());
+            assertEquals(0, upstream.requests.size());
+        }
+    }
+
     /** Guards against time spent on an answer that can't be served: the rest of it is not waited for. */
     @Test
     void anAnswerThatIsTooLongIsGivenUpByItsHead() throws Exception {
