--- a/sidecar/src/main/java/appleridge/http1/RequestReader.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestReader.java
@@ -79,7 +79,7 @@
         if (name.isBlank()) {
             throw bad("X-Request-Id missing");
         }
-        int requestClass = config.classes().indexOf(headers.get(Headers.CLASS, ""));
+        int requestClass = position(config.classes(), headers.get(Headers.CLASS, ""));
         if (requestClass < 0) {
             throw bad("X-Class missing or unknown");
         }
@@ -112,7 +112,7 @@
      * first one, a name that nobody has would use up that one's quota.
      */
     private int tenant(String name) throws BadRequest {
-        int tenant = config.tenants().indexOf(name);
+        int tenant = position(config.tenants(), name);
         boolean named = !name.isEmpty() && !config.tenants().isEmpty() && !config.tenants().contains("");
         if (tenant < 0 && named) {
             throw bad("X-Tenant unknown");
@@ -120,6 +120,13 @@
         return Math.max(0, tenant);
     }
 
+    /** Danger: bytes of a head are read as Latin-1, while the settings have a name's letters. */
+    private static int position(List<String> names, String told) {
+        int at = names.indexOf(told);
+        return at >= 0 ? at : names.indexOf(new String(told.getBytes(StandardCharsets.ISO_8859_1),
+                StandardCharsets.UTF_8));
+    }
+
     private static BadRequest bad(String message) {
         return new BadRequest(HttpResponseStatus.BAD_REQUEST, message);
     }
--- a/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
+++ b/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
@@ -62,6 +62,18 @@
         assertEquals("id", read(free).name());
     }
 
+    /** Guards against a customer whose names have letters that a head's bytes are not read as. */
+    @Test
+    void namesOfClassesAndTenantsMayHaveAnyLetters() throws Exception {
+        String parties = TWO_TENANTS.replace("acme", "\u65ed\u5ddd, les m\u00eames");
+        HttpRequest head = request();
+        head.headers().set("X-Tenant", new String("\u65ed\u5ddd, les m\u00eames".getBytes(StandardCharsets.UTF_8),
+                StandardCharsets.ISO_8859_1));
+        assertEquals(1, read(parties, head).tenant());
+        head.headers().set("X-Tenant", "les m\u00eames");
+        assertThrows(BadRequest.class, () -> read(parties, head));
+    }
+
     /** Guards against requests held beyond the time for which their class's clients wait. */
     @Test
     void noClientWaitsLongerThanItsClass() throws Exception {
