--- a/sidecar/src/main/java/appleridge/config/Config.java
+++ b/sidecar/src/main/java/appleridge/config/Config.java
@@ -36,8 +36,9 @@
         List<String> kinds, long connIdle, int maxOpen, InetSocketAddress admin) {
     private static final int LEAST_SOCKETS = 64;
     /**
-     * Nanoseconds within which an agent is asked again. Danger: it says nothing of being back, and what it has
-     * then counts as told, while a drain may have to be heeded in a quarter of a second. Asking costs nothing.
+     * Nanoseconds within which an agent is asked again. Danger: it says nothing of being back, and what it
+     * has then counts as told, while a drain may have to be heeded in a quarter of a second. Asking costs
+     * nothing.
      */
     private static final long AGENT_ASKED_WITHIN = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -84,7 +85,7 @@
 
     /**
      * The settings of a module in a sidecar with sockets: a pushed list has to be asked of the agent by a
-     * watch, as any other is; and this sidecar sends its peers nothing, which settings allow and don't demand.
+     * watch, as any other is; and this sidecar sends its peers nothing, which is allowed and not demanded.
      */
     private static Settings hosted(Settings told, boolean pushed) {
         Allowed may = told.allowed();
@@ -118,8 +119,9 @@
         same.put("listen", listen.equals(other.listen));
         same.put("admin", Objects.equals(admin, other.admin));
         same.put("limits", sockets == other.sockets);
-        same.put("settings", settings.equals(other.settings) && pushed == other.pushed && classes.equals(other.classes)
-                && tenants.equals(other.tenants) && zones.equals(other.zones) && kinds.equals(other.kinds)
+        same.put("settings", settings.equals(other.settings) && pushed == other.pushed
+                && classes.equals(other.classes) && tenants.equals(other.tenants)
+                && zones.equals(other.zones) && kinds.equals(other.kinds)
                 && connIdle == other.connIdle && maxOpen == other.maxOpen);
         return same.keySet().stream().filter(part -> !same.get(part)).toList();
     }
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -599,9 +599,9 @@
     }
 
     /**
-     * Danger: an attempt that waits for its connection would be sent when that is there, long after its client
-     * has left. The module may not be allowed to cancel; but of this one nothing has gone out, so it ends as
-     * never sent, and takes no room at its upstream for work that might still be done there.
+     * Danger: an attempt that waits for its connection would be sent when that is there, long after its
+     * client has left. The module may not be allowed to cancel; but of this one nothing has gone out, so it
+     * ends as never sent, and takes no room at its upstream for work that might still be done there.
      */
     private void callOffWhatNobodyWaitsFor(Call call) {
         for (Attempt attempt : call.attempts) {
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -516,8 +516,8 @@
     }
 
     /**
-     * Closes it unless a whole request has come that has no answer yet. Danger: what has come and waits unread
-     * has been taken, and closing would lose it; so it is read first.
+     * Closes it unless a whole request has come that has no answer yet. Danger: what has come and waits
+     * unread has been taken, and closing would lose it; so it is read first.
      */
     void closeIfNothingIsOpen() {
         if (exchanges.isEmpty() && channel.isActive() && !deaf) {
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -324,7 +324,7 @@
     public void drain(Runnable whenDrained) {
         draining = true;
         drained = whenDrained;
-        // Danger: where deadlines are longer SIGKILL does not wait for them, and finds what came after SIGTERM.
+        // Danger: where deadlines are longer SIGKILL does not wait for them, and finds what came since.
         long longest = Math.min(LONGEST_WAITED_MILLIS,
                 TimeUnit.NANOSECONDS.toMillis(exchanges.longestDeadline()));
         long end = Math.max(STILL_ACCEPTS_MILLIS + LAST_REQUEST_MILLIS,
--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -27,8 +27,8 @@
      * @param watch a watch without news
      * @param late what a watch may take beyond that before discovery is asked beside it
      * @param patience a call that need not wait
-     * @param wholeAgain what has failed is followed by a call for the whole list, which need not wait, and not
-     *     by a watch
+     * @param wholeAgain what has failed is followed by a call for the whole list, which need not wait, and
+     *     not by a watch
      */
     public record Pace(long watch, long late, long patience, boolean wholeAgain) {
         /**
--- a/sidecar/src/test/java/appleridge/config/ConfigTest.java
+++ b/sidecar/src/test/java/appleridge/config/ConfigTest.java
@@ -34,7 +34,7 @@
         assertEquals(0x8c1f30d27a5be964L, config.seed());
     }
 
-    /** Guards against a customer whose lists are pushed, or whose sidecars may speak: none of it is demanded. */
+    /** Guards against a customer whose lists are pushed, or whose sidecars may speak to one another. */
     @Test
     void pushedListsAreFollowedAndPeersLeftAlone() throws Exception {
         String pushed = GOOD.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"")
--- a/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
@@ -452,8 +452,8 @@
     }
 
     /**
-     * Guards against requests that SIGKILL finds unanswered where a class's clients wait for longer than it is
-     * put off: no more than 3 s of the longest deadline, and 0.7 s.
+     * Guards against requests that SIGKILL finds unanswered where a class's clients wait for longer than it
+     * is put off: no more than 3 s of the longest deadline, and 0.7 s.
      */
     @Test
     void whatIsTakenAtTheEndIsAnsweredBeforeSigkillHoweverLongItsClientsWait() throws Exception {
--- a/sidecar/src/test/java/appleridge/daemon/HeldListenerIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/HeldListenerIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import appleridge.handover.Phase;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -244,7 +245,12 @@
                 HoldingPlatform platform = new HoldingPlatform(folder)) {
             HoldingPlatform.Sidecar old = platform.start(json(discovery, upstream), "0");
             old.awaitLog("serves at");
-            Files.writeString(platform.sharedFolder().resolve("slot-0.state"), "appleridge-state 9\nnoise");
+            // Its last state is written a moment after it says so, and would take the noise's place.
+            Path state = platform.sharedFolder().resolve("slot-0.state");
+            while (!Files.readString(state).contains(Phase.SERVING.name())) {
+                Thread.sleep(10);
+            }
+            Files.writeString(state, "appleridge-state 9\nnoise");
             HoldingPlatform.Sidecar next = platform.start(json(discovery, upstream), "0");
             next.awaitLog("another process's state is not used");
             next.awaitLog("serves at");
--- a/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -39,6 +39,7 @@
 @Timeout(60)
 class LeavingClientTest {
     private static final StubUpstream.Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+    private static final String READY = "GET /health/ready HTTP/1.1\r\n\r\n";
     /** Each in turn: one client or a burst of them, that end their connection or reset it. */
     private static final List<Leaving> WAYS = List.of(new Leaving(1, false), new Leaving(1, true),
             new Leaving(8, false), new Leaving(8, true));
@@ -75,7 +76,8 @@
 
     private void begin(StubUpstream discovery, UnaryOperator<String> changed, String... targets)
             throws Exception {
-        String json = changed.apply(LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(), targets));
+        String json = changed.apply(LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
+                targets));
         Config config = Config.parse(new ObjectMapper().readTree(json))
                 .listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         Loop time = new Loop(loop, SystemTime.UNIX_MILLIS,
@@ -115,7 +117,7 @@
         return clients;
     }
 
-    /** What is asked after all others have left is the next thing that the upstream gets; it may be refused. */
+    /** What is asked after all others have left, and not refused, is the next that the upstream gets. */
     private void nothingIsSentBefore(String last, StubUpstream upstream) throws Exception {
         try (TestClient client = new TestClient(address)) {
             String answer = client.ask(TestClient.request("read", "3.0", "X-Name: " + last));
@@ -205,8 +207,8 @@
             };
             try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
                     StubUpstream full = new StubUpstream(after(gate));
-                    StubUpstream failing = new StubUpstream(StubUpstream.firstThen(new CountDownLatch(1), error,
-                            GOOD))) {
+                    StubUpstream failing = new StubUpstream(StubUpstream.firstThen(new CountDownLatch(1),
+                            error, GOOD))) {
                 begin(discovery, json -> json, LoopbackNode.targets(full, failing));
                 List<TestClient> busy = new ArrayList<>();
                 TestClient leaves = null;
@@ -301,7 +303,7 @@
                     List<TestClient> clients = new ArrayList<>();
                     for (int i = 0; i < way.clients; i++) {
                         TestClient client = new TestClient(address);
-                        assertEquals(503, TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")));
+                        assertEquals(503, TestClient.status(client.ask(READY)));
                         clients.add(client);
                     }
                     CountDownLatch left = standStill(still);
--- a/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
+++ b/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
@@ -67,8 +67,8 @@
     void namesOfClassesAndTenantsMayHaveAnyLetters() throws Exception {
         String parties = TWO_TENANTS.replace("acme", "\u65ed\u5ddd, les m\u00eames");
         HttpRequest head = request();
-        head.headers().set("X-Tenant", new String("\u65ed\u5ddd, les m\u00eames".getBytes(StandardCharsets.UTF_8),
-                StandardCharsets.ISO_8859_1));
+        byte[] sent = "\u65ed\u5ddd, les m\u00eames".getBytes(StandardCharsets.UTF_8);
+        head.headers().set("X-Tenant", new String(sent, StandardCharsets.ISO_8859_1));
         assertEquals(1, read(parties, head).tenant());
         head.headers().set("X-Tenant", "les m\u00eames");
         assertThrows(BadRequest.class, () -> read(parties, head));
--- a/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
+++ b/sidecar/src/test/java/appleridge/http1/UpstreamPoolTest.java
@@ -48,7 +48,7 @@
             new DefaultHttpHeaders(), new byte[0]);
     private static final Window ALWAYS = new Window(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE);
 
-    /** Where the system may have a connection up at once, or a moment later, this one always has it at once. */
+    /** The system may have a connection up at once or a moment later; here it is always at once. */
     private static final class ConnectsAtOnce extends NioSocketChannel {
         @Override
         protected boolean doConnect(SocketAddress remote, SocketAddress local) throws Exception {
