--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -137,12 +137,17 @@
         connection = null;
         overdueRevision = Long.MIN_VALUE;
         address = other;
-        wholeFirst = true;
+        beginAnew();
         if (watching) {
             watch();
         }
     }
 
+    /** What is asked next is the whole list, and it is believed whatever its version. */
+    private void beginAnew() {
+        wholeFirst = true;
+    }
+
     @Override
     public void close() {
         watching = false;
@@ -235,7 +240,7 @@
         if (update.revision() < revision && !wholeFirst) {
             // Danger: whoever answers with less than it has told may take back a drain. One that began anew
             // says so again when asked for all it has, and is believed then.
-            wholeFirst = true;
+            beginAnew();
             failed(connection, "a list older than the last one: " + update.revision());
             return;
         }
