A test of the stand-still that is looked after where drains are to be heeded in 250 ms

docs/races.md had this mend of (Exchanges, stoodStill) by reading only, with no test of its own. The thread stands still for 200 ms, in which discovery tells that both servers drain; a request is read first.

--- a/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
+++ b/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
@@ -152,36 +152,40 @@
     private final List<Sent> sent = new ArrayList<>();
     private final List<String> failures = new ArrayList<>();
     private final List<Runnable> unread = new ArrayList<>();
-    private final Exchanges exchanges = new Exchanges(hand, hand, settings(), 100, new Upstreams() {
-        @Override
-        public Sending send(Endpoint to, Outgoing what, Window window, Listener listener) {
-            Sent next = new Sent(to, window, listener);
-            sent.add(next);
-            return next;
-        }
+    private final Exchanges exchanges = exchanges(2000 * MS);
 
-        @Override
-        public void closeIdle(Endpoint endpoint) { }
-    }, new Log() {
-        @Override
-        public void news(String line) { }
+    private Exchanges exchanges(long drainGrace) {
+        return new Exchanges(hand, hand, settings(drainGrace), 100, new Upstreams() {
+            @Override
+            public Sending send(Endpoint to, Outgoing what, Window window, Listener listener) {
+                Sent next = new Sent(to, window, listener);
+                sent.add(next);
+                return next;
+            }
 
-        @Override
-        public void warning(String line) { }
+            @Override
+            public void closeIdle(Endpoint endpoint) { }
+        }, new Log() {
+            @Override
+            public void news(String line) { }
 
-        @Override
-        public void failure(String what, Throwable cause) {
-            failures.add(what + ": " + cause);
-        }
-    }, actions -> new SymmetricRoundRobin(settings(), 7, actions));
+            @Override
+            public void warning(String line) { }
 
-    private static Settings settings() {
+            @Override
+            public void failure(String what, Throwable cause) {
+                failures.add(what + ": " + cause);
+            }
+        }, actions -> new SymmetricRoundRobin(settings(drainGrace), 7, actions));
+    }
+
+    private static Settings settings(long drainGrace) {
         RequestClass hold = new RequestClass(400 * MS, 0, 1000 * MS, 1, 0, Semantics.BY_KEY, Scope.ALL,
                 1000 * MS,
                 false);
         return new Settings(0, 1, 0, 5 * MS, Discovery.SUBSCRIBE, Weights.SILENT, List.of(hold), List.of(),
                 new Allowed(true, false, false, false, true, 6, 750 * MS, 100 * MS),
-                new Limits(20 * MS, 10_000 * MS, 2000 * MS, 0.4, 7000 * MS, 4, 1500 * MS), List.of(), false,
+                new Limits(20 * MS, 10_000 * MS, drainGrace, 0.4, 7000 * MS, 4, 1500 * MS), List.of(), false,
                         1);
     }
 
@@ -252,7 +256,11 @@
     }
 
     ExchangesTest() {
-        exchanges.start(new Lists() {
+        start(exchanges);
+    }
+
+    private void start(Exchanges which) {
+        which.start(new Lists() {
             @Override
             public void subscribe(boolean on) { }
 
@@ -413,6 +421,21 @@
         assertEquals(2, sent.get(0).to.upstream());
     }
 
+    /**
+     * Guards against who must stop sending in 250 ms and takes 200 ms in which nothing was read for nothing.
+     */
+    @Test
+    void whereDrainsAreToBeHeededSoonALessLongStandStillIsLookedAfter() {
+        Exchanges soon = exchanges(250 * MS);
+        start(soon);
+        hand.standStill(200 * MS);
+        unread.add(() -> soon.listChanged(ListKind.DELTA,
+                List.of(upstream(1, State.DRAINING), upstream(2, State.DRAINING)),
+                Map.of(1L, ADDRESS, 2L, ADDRESS)));
+        soon.accept(new ClientRequest("a", hand.now(), 2000 * MS, 0, 0, 0, 0, false, MESSAGE), new Client());
+        assertEquals(0, sent.size(), "both drain");
+    }
+
     /** Guards against a drain that is undone: what a stand-still kept is newer than the list being told. */
     @Test
     void whatAStandStillKeptIsToldBehindTheListThatIsBeingTold() {
