Requests behind a new connection's first one are not sent once its client has gone

A new connection may have waited in the backlog, at the cap of connections, until its client gave up. Its first request was therefore looked at once more before it was sent (ClientConnection.acceptIfThere), but only the first: what had come behind it in the same read was handed on at once by ClientConnection.take, ahead of the first one even, for the connection's end is read one turn later at the soonest. With an idle connection to an upstream it was written there before the end was seen.

To blame: 'first = !asked' in take. Now the connection counts as new until its client was seen to be there after all that came with the first request had been read.

Ruled out: a late loop (mayHaveWaited covers every request then; the test holds the loop for some milliseconds, far below the 150 ms from which it counts as late), and requests that wait for a connection to an upstream, which are called off with their client.

The test fails without this in 3 of 3 runs (the upstream gets a request of the client that left ahead of the last one) and passes 50 times in a row with it.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -83,6 +83,8 @@
     private boolean lingering;
     private boolean turnedAway;
     private boolean asked;
+    /** Its client was seen to be there when what had come with its first request had been read. */
+    private boolean seen;
     /** Since when nothing has been open; or when the request that is being read began. */
     private long since;
     private boolean reading;
@@ -270,7 +272,6 @@
     }
 
     private void take(HttpRequest request, byte[] content) {
-        boolean first = !asked;
         asked = true;
         reading = false;
         since = server.loop().now();
@@ -290,7 +291,7 @@
         }
         try {
             ClientRequest read = server.reader().read(request, content, server.exchanges().cameAt());
-            if (first || server.exchanges().mayHaveWaited()) {
+            if (!seen || server.exchanges().mayHaveWaited()) {
                 server.loop().soon(() -> acceptIfThere(read, exchange));
             } else {
                 exchange.hangUp = server.exchanges().accept(read, exchange);
@@ -303,11 +304,12 @@
 
     /**
      * Danger: a new connection may have waited to be accepted, or all to be read, until a client gave up;
-     * then its request is read ahead of its connection's end, and what nobody waits for any more would be
-     * sent.
+     * then what it asked, the first request and all behind it, is read ahead of its connection's end, and
+     * what nobody waits for any more would be sent.
      */
     private void acceptIfThere(ClientRequest request, Exchange exchange) {
         server.readNow(channel);
+        seen = true;
         if (channel.isActive()) {
             exchange.hangUp = server.exchanges().accept(request, exchange);
         }
--- a/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -320,6 +320,35 @@
         }
     }
 
+    /**
+     * Guards against what comes behind a new connection's first request, all of it sent at once and its client
+     * gone: as much as the first, it may have waited until the connection was accepted. The loop is held for
+     * too short a time to be late, and an idle connection to the upstream would take what is sent at once.
+     */
+    @Test
+    void whatComesAtOnceOnANewConnectionIsNotSentWhenItsClientHasGone() throws Exception {
+        for (Leaving way : WAYS) {
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream upstream = new StubUpstream(GOOD)) {
+                begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                try (TestClient before = ask(1, "read").get(0)) {
+                    assertEquals(200, TestClient.status(before.read()));
+                    upstream.nextRequest();
+                }
+                await("gone", () -> onLoop(() -> node.clients()) == 0);
+                CountDownLatch left = standStill(0);
+                List<TestClient> leaving = ask(way.clients, "read");
+                for (TestClient each : leaving) {
+                    each.send(TestClient.request("read", "3.0") + TestClient.request("read", "3.0"));
+                }
+                way.leave(leaving);
+                left.countDown();
+                nothingIsSentBefore("last", upstream);
+                closeNode();
+            }
+        }
+    }
+
     /**
      * The same for what lets a request go on: the answers that make room for those that are held come while
      * the loop stands still, and then their clients leave.
