The end of the service cuts no answer short that the system has not taken yet

At the end, 200 ms before SIGKILL may come, connections with nothing open are closed. An answer counts as given once it is written: what the system had not taken of it by then, because its client reads slowly, went with the close, and its client got a part or nothing though SIGKILL was still to come.

To blame: ClientConnection.closeIfNothingIsOpen asked for exchanges.isEmpty() alone, where idle() asks for output.waits() too. Such a connection now takes no further request and ends when the system has taken what was written; OutputWatch still ends it after 2 s. What lingers is read once more before it is closed, so that the close resets nothing.

Ruled out: closeIfIdle, endIfIdle and boundKept ask idle(); Netty's close fails what is not flushed rather than waiting for it.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -519,17 +519,28 @@
 
     /**
      * Closes it unless a whole request has come that has no answer yet. Danger: what has come and waits
-     * unread has been taken, and closing would lose it; so it is read first.
+     * unread has been taken, and closing would lose it; so it is read first. And an answer that has been
+     * written may wait here for the system to take it; closed now, it would be cut short.
      */
     void closeIfNothingIsOpen() {
-        if (exchanges.isEmpty() && channel.isActive() && !deaf) {
+        if (exchanges.isEmpty() && channel.isActive()) {
             server.readNow(channel);
         }
-        if (exchanges.isEmpty()) {
+        if (exchanges.isEmpty() && channel.isActive() && output.waits()) {
+            endWhenTaken();
+        } else if (exchanges.isEmpty()) {
             channel.close();
         }
     }
 
+    /** No answer follows those written: it ends when the system has taken them. */
+    private void endWhenTaken() {
+        if (!deaf) {
+            deafen();
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(taken -> linger());
+        }
+    }
+
     /**
      * Ends what takes too long. Danger: connections left idle, with a request that never ends or an answer
      * that is never read, would use the descriptors up; what keeps sending a byte now and then is no better.
