A guess at a request's work beyond what its class's clients wait for counts as none

X-Cost-Hint was taken as it came: 1e300 became the longest time there is. One request of a bad client then counted for more work than all others of minutes: Ledger.open adds it to what is asked for (Roster.asked, by which tenants are shed and the part that lies near is fitted), its answer to what is served (Roster.served, by which a cold server's allowance is reckoned, so that cold servers are given work without bound), and on a cold server it takes the allowance away for the whole of the ramp (coldCredit).

To blame: the reader bounded the deadline by the class and the guess by nothing. Work that takes longer than the class's clients wait can't be served in any case, so such a guess is no guess, like one that is no number or negative.

Ruled out: the other figures of a request; the deadline is bounded by the class, the key has no order.

--- a/sidecar/src/main/java/appleridge/http1/RequestReader.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestReader.java
@@ -99,11 +99,12 @@
         // Danger: what is held for longer than its class's clients wait would hold its place for as long,
         // and would outlive the end of the service, which waits for the longest class.
         long patience = Math.min((long) (seconds * TimeUnit.SECONDS.toNanos(1)), kind.deadline());
-        double hint = number(headers.get(Headers.COST_HINT));
+        // Danger: one request with a guess without bounds would count for more work than all others together.
+        double hint = number(headers.get(Headers.COST_HINT)) * TimeUnit.MICROSECONDS.toNanos(1);
+        boolean guessed = hint > 0 && hint <= kind.deadline();
         return new ClientRequest(name, arrived, patience, requestClass,
                 tenant(headers.get(Headers.TENANT, "").strip()), key(headers.get(HttpHeaderNames.COOKIE)),
-                hint > 0 ? (long) (hint * TimeUnit.MICROSECONDS.toNanos(1)) : 0,
-                "1".equals(headers.get(Headers.RETRY)),
+                guessed ? (long) hint : 0, "1".equals(headers.get(Headers.RETRY)),
                 new OutgoingRequest(head.method(), uri, headers, body));
     }
 
--- a/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
+++ b/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
@@ -87,6 +87,23 @@
         assertBad(head);
     }
 
+    /**
+     * Guards against one bad client whose request counts for more than all others together: what a sidecar
+     * allows a cold server, and whom it sheds, goes by the work that it was asked for.
+     */
+    @Test
+    void aGuessAtMoreWorkThanItsClientWaitsForIsNone() throws Exception {
+        HttpRequest head = request();
+        for (String hint : new String[] {"1200", "3000000"}) {
+            head.headers().set(Headers.COST_HINT, hint);
+            assertEquals(Long.parseLong(hint) * 1000, read(head).costHint());
+        }
+        for (String hint : new String[] {"3000001", "1e12", "1e300", "Infinity", "NaN", "-1", "much"}) {
+            head.headers().set(Headers.COST_HINT, hint);
+            assertEquals(0, read(head).costHint(), hint);
+        }
+    }
+
     /** Guards against the first tenant's quota used up under names that nobody has. */
     @Test
     void aTenantThatIsNamedIsOneOfTheSettings() throws Exception {
