A class whose clients wait for longer than a minute has its requests taken

X-Deadline beyond 60 s was answered 400 whatever the settings say of the class. Where a customer's class has a longer deadline, each request that carries it in full was turned away, at every sidecar.

To blame: RequestReader.LONGEST_SECONDS, a bound of the program's own ahead of the class's.

--- a/sidecar/src/main/java/appleridge/http1/RequestReader.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestReader.java
@@ -42,7 +42,10 @@
     }
 
     private static final String PATH = "/api";
-    /** A larger deadline is no one's; up to it one beyond the class's own is valid, and cut to that. */
+    /**
+     * A larger deadline is no one's, unless its class's clients wait for longer; up to it one beyond the
+     * class's own is valid, and cut to that.
+     */
     private static final double LONGEST_SECONDS = 60;
 
     /**
@@ -93,7 +96,8 @@
             throw bad("Idempotency-Key missing");
         }
         double seconds = number(headers.get(Headers.DEADLINE));
-        if (!(seconds > 0 && seconds <= LONGEST_SECONDS)) {
+        double longest = Math.max(LONGEST_SECONDS, kind.deadline() / (double) TimeUnit.SECONDS.toNanos(1));
+        if (!(seconds > 0 && seconds <= longest)) {
             throw bad("X-Deadline missing or senseless");
         }
         // Danger: what is held for longer than its class's clients wait would hold its place for as long,
--- a/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
+++ b/sidecar/src/test/java/appleridge/http1/RequestReaderTest.java
@@ -87,6 +87,22 @@
         assertBad(head);
     }
 
+    /** Guards against a customer whose every request is turned away, for its clients wait for long. */
+    @Test
+    void aClassMayWaitForLongerThanAMinute() throws Exception {
+        String patient = LoopbackNode.json(LoopbackNode.Figures.USUAL, "127.0.0.1:9")
+                .replace("\"deadline\":3000000000", "\"deadline\":90000000000");
+        RequestReader reader = new RequestReader(Config.parse(patient.getBytes(StandardCharsets.UTF_8)));
+        HttpRequest head = request();
+        for (String deadline : new String[] {"75.5", "90"}) {
+            head.headers().set(Headers.DEADLINE, deadline);
+            assertEquals((long) (Double.parseDouble(deadline) * 1e9),
+                    reader.read(head, new byte[0], 0).patience());
+        }
+        head.headers().set(Headers.DEADLINE, "90.1");
+        assertThrows(BadRequest.class, () -> reader.read(head, new byte[0], 0));
+    }
+
     /**
      * Guards against one bad client whose request counts for more than all others together: what a sidecar
      * allows a cold server, and whom it sheds, goes by the work that it was asked for.
