What a process took over with its platform's listening socket is answered though its end comes at once

A process that takes over a listening socket accepts what has connected before (HeldListener.of), and tells its loop of it in a task of its own, behind the task that makes the node. SIGTERM's task may have been queued in between: the end then saw no connection, set the process's halt for 20 ms later and stood by it, though the connection was opened meanwhile and its request sent on. Its client got no answer.

To blame: ClientServer.endWhenDrained dropped its callback as soon as it found nothing open, and did not look again when the 20 ms were over. Now it does, and waits on where something has come.

Ruled out: what is accepted after accepting has paused. On one loop accepting and the end are never in one turn in that order; and with a listener of its own nothing is opened once it has closed.

--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -70,6 +70,7 @@
     private boolean lastCall;
     /** Connections are just being closed to make room. */
     private boolean closing;
+    private boolean settling;
     private Runnable drained;
 
     /** With the most connections that are held at once. */
@@ -377,11 +378,23 @@
     }
 
     private void endWhenDrained() {
-        if (draining && (held || !listener.isOpen()) && connections.isEmpty() && drained != null) {
+        if (isDrained() && !settling) {
             // Danger: the system's listening socket ends only when the loop next looks for events. What
-            // connects before would be reset by the process's end, so the loop gets to look first.
-            loop.after(millis(SETTLE_MILLIS), drained);
-            drained = null;
+            // connects before would be reset by the process's end, so the loop gets to look first; and what
+            // it finds, or had been told to take over, has to be gone again too.
+            settling = true;
+            loop.after(millis(SETTLE_MILLIS), () -> {
+                settling = false;
+                if (isDrained()) {
+                    Runnable told = drained;
+                    drained = null;
+                    told.run();
+                }
+            });
         }
     }
+
+    private boolean isDrained() {
+        return draining && (held || !listener.isOpen()) && connections.isEmpty() && drained != null;
+    }
 }
--- a/sidecar/src/main/java/appleridge/transport/HeldListener.java
+++ b/sidecar/src/main/java/appleridge/transport/HeldListener.java
@@ -51,7 +51,7 @@
     }
 
     /** For a socket that is bound already; tells by an exception that it doesn't listen. */
-    private static HeldListener of(ServerSocketChannel socket) throws IOException {
+    public static HeldListener of(ServerSocketChannel socket) throws IOException {
         try {
             // The JVM takes any unconnected socket for one that listens; only accepting tells.
             return new HeldListener(socket, socket.accept());
--- a/sidecar/src/test/java/appleridge/daemon/EndOfServiceTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/EndOfServiceTest.java
@@ -7,6 +7,7 @@
 
 import appleridge.config.Config;
 import appleridge.decision.SymmetricRoundRobin;
+import appleridge.transport.HeldListener;
 import appleridge.transport.Loop;
 import appleridge.transport.NioSockets;
 import appleridge.transport.Sockets;
@@ -24,6 +25,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -60,6 +62,11 @@
     }
 
     private void begin(StubUpstream upstream) throws Exception {
+        node = onLoop(node(upstream, null));
+        address = (InetSocketAddress) node.listening().sync().channel().localAddress();
+    }
+
+    private Callable<Node> node(StubUpstream upstream, HeldListener held) throws Exception {
         String json = LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
                 LoopbackNode.targets(upstream)).replaceAll("\"(slo|deadline)\":[0-9]+", "\"$1\":400000000");
         Config config = Config.parse(new ObjectMapper().readTree(json))
@@ -83,9 +90,7 @@
                 usual.readNow(channel);
             }
         };
-        node = loop.submit(() -> new Node(time, sockets, config, Tuning.USUAL,
-                SymmetricRoundRobin::new)).get();
-        address = (InetSocketAddress) node.listening().sync().channel().localAddress();
+        return () -> new Node(time, sockets, config, Tuning.USUAL, SymmetricRoundRobin::new, held, null);
     }
 
     @AfterEach
@@ -182,6 +187,39 @@
         }
     }
 
+    /**
+     * Guards against the end of a process that has just taken its platform's listening socket over: what had
+     * connected before is told to the loop behind the end, which saw no connection.
+     */
+    @Test
+    void whatHadConnectedBeforeTheSocketWasTakenOverIsAnsweredThoughTheEndCameAtOnce() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch later = new CountDownLatch(1);
+        StubUpstream.Script held = (socket, request) -> {
+            stand(asked);
+            return GOOD.serve(socket, request);
+        };
+        try (ServerSocketChannel socket = ServerSocketChannel.open();
+                StubUpstream upstream = new StubUpstream(held)) {
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).configureBlocking(false);
+            try (TestClient client = new TestClient((InetSocketAddress) socket.getLocalAddress())) {
+                client.send(TestClient.request("pay", "0.4"));
+                Callable<Node> make = node(upstream, HeldListener.of(socket));
+                onLoop(() -> {
+                    node = make.call();
+                    node.drain(drained::countDown);
+                    loop.schedule(later::countDown, 100, TimeUnit.MILLISECONDS);
+                    return null;
+                });
+                stand(later);
+                assertEquals(1, drained.getCount(), "its process would have ended");
+                asked.countDown();
+                assertNotNull(client.read());
+            }
+            stand(drained);
+        }
+    }
+
     /** Accepts connections that write only while the system is to take something. */
     private final class Listening extends NioServerSocketChannel {
         @Override
