What follows a request that asked for its connection's end is not sent

Behind a request with Connection: close, or one of HTTP/1.0, nothing is answered: ClientConnection.flush makes that answer the last one and hangs up what waits behind it. Yet take read on, and accepted what came behind it in the same bytes: a request, unsafe ones too, was sent to an upstream and had an effect that nobody was told of, its connection closed with no answer.

To blame: ClientConnection.take and upload, which looked at keepAlive only once the answer was there. Now nothing behind such a request is read; its client's leaving is still seen, for what comes is discarded and not left unread.

Ruled out: the last answers at the end of the service (lastCall), which are the last ones only where nothing waits behind them.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -221,6 +221,7 @@
             uploading = null;
             since = server.loop().now();
             input.whole(decoder.holdsBytes());
+            deafenBehind(exchange);
             exchange.upload.whole();
         }
     }
@@ -279,6 +280,7 @@
         Exchange exchange = new Exchange(HttpUtil.isKeepAlive(request),
                 request.protocolVersion().equals(HttpVersion.HTTP_1_1));
         exchanges.add(exchange);
+        deafenBehind(exchange);
         if (request.uri().equals(READY_PATH)) {
             if (request.method().equals(HttpMethod.GET)) {
                 boolean ready = server.ready();
@@ -439,6 +441,13 @@
         ctx.fireChannelWritabilityChanged();
     }
 
+    /** Danger: what a client sends behind its last request has no answer, and would have an effect. */
+    private void deafenBehind(Exchange request) {
+        if (!request.keepAlive) {
+            deafen();
+        }
+    }
+
     private void deafen() {
         deaf = true;
         input.discard();
--- a/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
@@ -312,6 +312,22 @@
         }
     }
 
+    /** Guards against an effect that nobody hears of: behind a client's last request nothing is answered. */
+    @Test
+    void whatFollowsAClientsLastRequestIsNotSent() throws Exception {
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream);
+                TestClient client = host.client()) {
+            client.send(TestClient.request("pay", "3.0", "X-Name: last", "Connection: close")
+                    + TestClient.request("pay", "3.0", "X-Name: beyond"));
+            assertEquals(200, TestClient.status(client.read()));
+            assertNull(client.read());
+            assertEquals(200, TestClient.status(host.ask(TestClient.request("read", "3.0", "X-Name: next"))));
+            for (String name : new String[] {"last", "next"}) {
+                assertEquals(name, StubUpstream.header(upstream.nextRequest(), "x-name"));
+            }
+        }
+    }
+
     /** Guards against one connection that holds requests without bound, or whose hang-up is not seen. */
     @Test
     void hundredsOfRequestsAtOnceEndTheConnection() throws Exception {
