Half a request is refused at the end of the service, not closed on

At the end, 200 ms before SIGKILL may come, a connection on which part of a request had come was closed with no word. A request becomes whole with its last byte, and with a slow way that comes at any moment: written just then, it was whole on a connection that had been accepted, and its client saw a reset in place of an answer, with no way to know that nothing had been done.

To blame: ClientConnection.closeIfNothingIsOpen, which tells only whether a whole request is there. What has come in part is refused now (503, Connection: close), so that its client may ask again at once; the rest of it is read and discarded, and resets nothing.

Ruled out: closeIfIdle, endIfIdle and the spared ones leave connections alone on which something has begun; a request that never ends has its 408 as before.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -319,8 +319,12 @@
 
     /** Tells the client that there is no room for it; nothing it may have asked is read. */
     void turnAway() {
+        turnAway("no room for another connection");
+    }
+
+    private void turnAway(String why) {
         turnedAway = true;
-        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "no room for another connection");
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE, why);
     }
 
     /** Answers what can't be read on from, after the answers still owed, and closes. */
@@ -527,17 +531,23 @@
     }
 
     /**
-     * Closes it unless a whole request has come that has no answer yet. Danger: what has come and waits
-     * unread has been taken, and closing would lose it; so it is read first. And an answer that has been
-     * written may wait here for the system to take it; closed now, it would be cut short.
+     * Ends it unless a whole request has come that has no answer yet. Danger: what has come and waits unread
+     * has been taken, and closing would lose it; so it is read first. What has come in part may become whole
+     * just now, and is refused. And an answer that has been written may wait here for the system to take it;
+     * closed now, it would be cut short.
      */
     void closeIfNothingIsOpen() {
         if (exchanges.isEmpty() && channel.isActive()) {
             server.readNow(channel);
         }
-        if (exchanges.isEmpty() && channel.isActive() && output.waits()) {
+        if (!exchanges.isEmpty()) {
+            return;
+        }
+        if (channel.isActive() && !deaf && input.begun()) {
+            turnAway("the service ends");
+        } else if (channel.isActive() && output.waits()) {
             endWhenTaken();
-        } else if (exchanges.isEmpty()) {
+        } else {
             channel.close();
         }
     }
--- a/sidecar/src/test/java/appleridge/daemon/EndOfServiceTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/EndOfServiceTest.java
@@ -153,6 +153,33 @@
         }
     }
 
+    /** Guards against a request lost because its last byte comes just as the end closes its connection. */
+    @Test
+    void halfARequestIsRefusedAtTheEndAndTheRestOfItResetsNothing() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        try (StubUpstream upstream = new StubUpstream(GOOD)) {
+            begin(upstream);
+            try (TestClient client = new TestClient(address)) {
+                String request = TestClient.request("pay", "0.4");
+                client.send(request.substring(0, 30));
+                onLoop(() -> {
+                    node.drain(drained::countDown);
+                    loop.schedule(over::countDown, END_MILLIS + 1, TimeUnit.MILLISECONDS);
+                    return null;
+                });
+                stand(over);
+                client.send(request.substring(30));
+                String answer = client.read();
+                assertNotNull(answer, "its connection was closed");
+                assertEquals(503, TestClient.status(answer));
+                assertEquals("close", StubUpstream.header(answer, "connection"));
+                assertNull(client.read());
+            }
+            stand(drained);
+            assertEquals(0, upstream.requests.size());
+        }
+    }
+
     /**
      * Guards against an answer that is cut short because it had been written when the end came, though the
      * system had taken none of it yet, as where its client reads slowly.
