A path with letters beyond ASCII reaches its server byte for byte

All 128 bytes above ASCII were changed so (each tried, in path and query).

Cause: a head is read with one letter a byte (Latin-1), while Netty's HttpRequestEncoder writes the first line in UTF-8 (UpstreamConnection.install). Header lines were looked at as well, with every byte: they go on unchanged, for the encoder of headers writes one byte a letter.

UpstreamConnection.Encoder writes the first line as it was read. Not taken: turning such paths away. They are no one's attack, and method, path and query are to go on unchanged.

The test fails without the mend each time (expected <C3 A9>, was <C3 83 C2 A9>); with it it passed 50 times in a row, beside a load of 27 on 8 cores.

--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -73,7 +75,7 @@
         channel.config().setRecvByteBufAllocator(HttpFlow.reads());
         InputWatch input = new InputWatch();
         Decoder decoder = new Decoder();
-        channel.pipeline().addLast(input, decoder, new HttpRequestEncoder(),
+        channel.pipeline().addLast(input, decoder, new Encoder(),
                 new UpstreamConnection(pool, channel, input, decoder, stall));
     }
 
@@ -359,6 +361,19 @@
         channel.close();
     }
 
+    /** Writes requests as they came. */
+    private static final class Encoder extends HttpRequestEncoder {
+        /**
+         * Danger: a head is read with one letter a byte, and would be written with two for letters beyond
+         * ASCII: the server would get a path that no client sent.
+         */
+        @Override
+        protected void encodeInitialLine(ByteBuf out, HttpRequest request) {
+            out.writeCharSequence(request.method() + " " + request.uri() + " " + request.protocolVersion()
+                    + "\r\n", StandardCharsets.ISO_8859_1);
+        }
+    }
+
     /** Reads answers strictly and tells whether bytes of a further one are waiting. */
     private static final class Decoder extends HttpResponseDecoder {
         private final HeadLines lines = new HeadLines(false);
--- a/sidecar/src/test/java/appleridge/daemon/NodeTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/NodeTest.java
@@ -78,6 +78,18 @@
         }
     }
 
+    /** Guards against a request that reaches a server as one that no client sent. */
+    @Test
+    void aPathWithLettersBeyondAsciiGoesOnByteForByte() throws Exception {
+        try (StubUpstream upstream = new StubUpstream(GOOD); LoopbackNode host = new LoopbackNode(upstream)) {
+            String path = "/api/caf\u00c3\u00a9?q=\u00e9\u0080\u00ff";
+            String answer = host.ask(TestClient.request("read", "2.0").replace("/api?x=1", path));
+            assertEquals(200, TestClient.status(answer));
+            String sent = upstream.nextRequest();
+            assertEquals("GET " + path + " HTTP/1.1", sent.substring(0, sent.indexOf("\r\n")));
+        }
+    }
+
     @Test
     void anErrorIsTriedAgainOnlyWhereTheClassAllowsIt() throws Exception {
         Script error = StubUpstream.says(StubUpstream.answer("500 Internal Server Error", ""));
