A sidecar starts also where an aim lies beyond its deadline, or a scope says nothing

Seen: with a class whose aim is 1 s and whose deadline is 0.4 s the sidecar ends at its start: "setting makes no sense: class deadline". The same with a class that is not keyed and has "none", "" or null for its scope: "setting has an unknown value: profiles.3.keyScope=none", though a scope is said to be of keyed classes alone.

Cause: Options.requestClass hands both on as they stand, and RequestClass rightly turns them down. Nothing is earned after the deadline, so an aim beyond it is the deadline; scope and time of keys are read for keyed classes alone, where a scope that nobody knows is still turned down.

--- a/sidecar/src/main/java/appleridge/config/Options.java
+++ b/sidecar/src/main/java/appleridge/config/Options.java
@@ -59,10 +59,16 @@
 
     private RequestClass requestClass(String path) {
         Semantics semantics = choice(Semantics.class, path + "semantics", null);
-        return new RequestClass((long) required(path + "slo"), number(path + "aimStretch", 0),
-                (long) required(path + "deadline"), number(path + "worth", 1), number(path + "lateShare", 0),
-                semantics, choice(Scope.class, path + "keyScope", Scope.CELL),
-                (long) number(path + "keyTtl", 0), flag(path + "stream"));
+        long deadline = (long) required(path + "deadline");
+        // Danger: where a day's deadlines are short, an aim may lie beyond one. Nothing is earned after the
+        // deadline, so such an aim is the deadline; turned down, no sidecar would start on that day.
+        long aim = Math.min((long) required(path + "slo"), deadline);
+        // Danger: these say nothing of other classes, and a start must not fail for what stands there.
+        boolean byKey = semantics == Semantics.BY_KEY;
+        Scope scope = byKey ? choice(Scope.class, path + "keyScope", Scope.CELL) : Scope.CELL;
+        long keyTtl = byKey ? (long) number(path + "keyTtl", 0) : 0;
+        return new RequestClass(aim, number(path + "aimStretch", 0), deadline, number(path + "worth", 1),
+                number(path + "lateShare", 0), semantics, scope, keyTtl, flag(path + "stream"));
     }
 
     private Allowed allowed() {
--- a/sidecar/src/test/java/appleridge/config/ConfigTest.java
+++ b/sidecar/src/test/java/appleridge/config/ConfigTest.java
@@ -7,6 +7,7 @@
 
 import appleridge.daemon.LoopbackNode;
 import appleridge.decision.Balancer.Discovery;
+import appleridge.decision.Balancer.RequestClass;
 import appleridge.decision.Balancer.Semantics;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.LinkedHashMap;
@@ -49,6 +50,28 @@
         assertEquals(List.of("settings"), parse(GOOD).fixedParts(config));
     }
 
+    /** Guards against a day of short deadlines on which no sidecar starts. */
+    @Test
+    void anAimBeyondTheDeadlineIsCutToIt() throws Exception {
+        List<RequestClass> classes = parse(GOOD.replace("\"deadline\":3000000000", "\"deadline\":400000000"))
+                .settings().classes();
+        assertEquals(400_000_000, classes.get(0).aim());
+        assertEquals(400_000_000, classes.get(0).deadline());
+        assertEquals(1_000_000_000, classes.get(4).aim());
+    }
+
+    /** Guards against a start that fails for what a class's other settings leave without meaning. */
+    @Test
+    void aScopeIsReadOnlyWhereRepeatsAreDroppedByKey() throws Exception {
+        String pay = "\"semantics\":\"once\"";
+        for (String scope : List.of("\"none\"", "\"\"", "null")) {
+            Config config = parse(GOOD.replace(pay, pay + ",\"keyScope\":" + scope));
+            assertEquals(Semantics.ONCE, config.settings().classes().get(3).semantics());
+        }
+        assertThrows(IllegalArgumentException.class, () -> parse(GOOD.replace("\"keyScope\":\"zone\"",
+                "\"keyScope\":\"none\"")));
+    }
+
     @Test
     void whatMakesNoSenseIsNamed() {
         Map<String, String> spoilt = new LinkedHashMap<>(Map.of(
