What a late loop finds connected is looked at once more before it is sent

Seen, forced over loopback sockets: while the loop stands still an attempt's connection comes up, and behind it its client leaves, or discovery tells that its upstream drains. The loop wakes, reads in the order in which things came, and writes the request: for a client that had left 0.3 s and more before, or to an upstream beyond the 0.25 s within which its drain had to be heeded.

Cause: all that comes from outside begins with Exchanges.beat, which looks after clients and the list where the loop was late; but a connection that comes up did not (UpstreamPool.connect, connected: straight to carry). Upstreams.Listener.connected is told now, ahead of the first byte, and what the beat calls off there is not written. While the loop is in time it costs a comparison.

Ruled out: the same by a timer (what is ready to be read is read ahead of all timers of a turn), by an answer (Listener.ended begins with a beat), by a connection that rests (taken within an event that began with one).

--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -386,6 +386,15 @@
         tally.sent(call.request.requestClass(), attempt.number > 0);
         attempt.sending = upstreams.send(endpoint, call.request.message(), attempt.window,
                 new Upstreams.Listener() {
+                    /**
+                     * Danger: the thread was late, and behind this connection waits the end of its client, or
+                     * word that its upstream drains: it would be sent all the same.
+                     */
+                    @Override
+                    public void connected() {
+                        beat();
+                    }
+
                     @Override
                     public boolean begins(Flow answer) {
                         beat();
--- a/sidecar/src/main/java/appleridge/exchange/Upstreams.java
+++ b/sidecar/src/main/java/appleridge/exchange/Upstreams.java
@@ -8,6 +8,9 @@
      * Told once, and never inside a call to {@link Upstreams}, how an attempt ended that was not abandoned.
      */
     interface Listener {
+        /** Its connection has come up, and nothing is written yet: it may be abandoned from in here. */
+        default void connected() { }
+
         /**
          * A good answer is too long to be held, and begins to go out if that is wanted: then it ends by
          * {@link #ended}, as OK only when all of it has come, and the time for which the answer is waited
--- a/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
@@ -29,6 +29,14 @@
         connecting = on;
     }
 
+    /** Its connection has come up: whether it is still wanted, now that this is known. */
+    boolean connected() {
+        if (!over) {
+            listener.connected();
+        }
+        return !over;
+    }
+
     /** Whether its first byte may still go out. */
     boolean mayBegin(long now) {
         return now <= window.firstByteBy();
@@ -93,10 +101,6 @@
         return written;
     }
 
-    boolean over() {
-        return over;
-    }
-
     /** Whether an answer that is too long to be held is wanted. */
     boolean begins(HttpFlow answer) {
         return !over && listener.begins(answer);
--- a/sidecar/src/main/java/appleridge/http1/UpstreamPool.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamPool.java
@@ -76,10 +76,10 @@
             @Override
             public void connected(Channel channel) {
                 channel.closeFuture().addListener(closed -> connections--);
-                if (exchange.over()) {
-                    channel.close();
-                } else {
+                if (exchange.connected()) {
                     carry(channel.pipeline().get(UpstreamConnection.class).open(to), exchange);
+                } else {
+                    channel.close();
                 }
             }
 
--- a/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -274,6 +274,94 @@
         }
     }
 
+    /**
+     * The same where both come while the loop stands still, and the connection is read ahead of the end: a
+     * late loop looks for those who have left before it writes.
+     */
+    @Test
+    void whatWaitsForItsConnectionIsNotSentWhereThatCameUpWhileTheLoopStoodStill() throws Exception {
+        for (Leaving way : new Leaving[] {new Leaving(1, false), new Leaving(1, true)}) {
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+                final List<Socket> waiting = fill(full);
+                begin(discovery, LeavingClientTest::patient,
+                        LoopbackNode.target("u0", "127.0.0.1:" + full.getLocalPort(), "Ready"));
+                TestClient client = new TestClient(address);
+                client.send(TestClient.request("read", "60.0"));
+                await("connecting", () -> onLoop(() -> node.upstreams()) == 1);
+                CountDownLatch left = standStill(320);
+                Socket up = takeAllBut(full, waiting);
+                way.leave(List.of(client));
+                left.countDown();
+                assertNothingIsSent(up);
+                closeNode();
+            }
+        }
+    }
+
+    /** Guards against a drain that is told while the loop stands still, and read behind the connection. */
+    @Test
+    void norIsItSentToWhoHasBegunToDrainMeanwhile() throws Exception {
+        CountDownLatch drains = new CountDownLatch(1);
+        CountDownLatch told = new CountDownLatch(1);
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String endpoint = "127.0.0.1:" + full.getLocalPort();
+            StubUpstream.Script drain = (socket, request) -> {
+                drains.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                StubUpstream.write(socket, StubUpstream.answer("200 OK", LoopbackNode.list(2, false,
+                        LoopbackNode.target("u0", endpoint, "Terminating"))));
+                told.countDown();
+                return true;
+            };
+            try (StubUpstream discovery = new StubUpstream(
+                    StubUpstream.firstThen(new CountDownLatch(1), drain, StubUpstream.SILENT))) {
+                final List<Socket> waiting = fill(full);
+                begin(discovery, json -> patient(json)
+                        .replace("\"stopSendingWithin\":2000000000", "\"stopSendingWithin\":250000000")
+                        .replace("\"askWithin\":1000000000", "\"askWithin\":60000000000"),
+                        LoopbackNode.target("u0", endpoint, "Ready"));
+                discovery.nextRequest();
+                try (TestClient client = new TestClient(address)) {
+                    client.send(TestClient.request("read", "60.0"));
+                    await("connecting", () -> onLoop(() -> node.upstreams()) == 1);
+                    CountDownLatch over = standStill(320);
+                    Socket up = takeAllBut(full, waiting);
+                    drains.countDown();
+                    assertTrue(told.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                    over.countDown();
+                    assertNothingIsSent(up);
+                    assertEquals(503, TestClient.status(client.read()), "it never ran: no other is there");
+                }
+                closeNode();
+            }
+        }
+    }
+
+    /** Connections and clients are waited for much longer than it takes for one to come up. */
+    private static String patient(String json) {
+        return json.replace("\"connectTimeout\":500000000", "\"connectTimeout\":60000000000")
+                .replace("\"deadline\":3000000000", "\"deadline\":60000000000");
+    }
+
+    /** Takes what waits, and the first connection behind that. */
+    private static Socket takeAllBut(ServerSocket listener, List<Socket> waiting) throws IOException {
+        List<Integer> known = waiting.stream().map(Socket::getLocalPort).toList();
+        listener.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+        while (true) {
+            Socket next = listener.accept();
+            if (!known.contains(next.getPort())) {
+                return next;
+            }
+            next.close();
+        }
+    }
+
+    private static void assertNothingIsSent(Socket up) throws IOException {
+        up.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+        assertEquals(null, StubUpstream.readMessage(up.getInputStream()));
+        up.close();
+    }
+
     /** Connects until the system takes no more. */
     private static List<Socket> fill(ServerSocket listener) throws IOException {
         List<Socket> all = new ArrayList<>();
