Of an upstream that a list of changes names twice only the last word counts

Cause: Directory.news forgot every upstream that a list of changes says is gone, also where a later entry of the same list says that it is there again (gone and back, as a log of changes has a restart), or the other way round: AddressHolders still had it at its address while Directory.known had not. When another one was listed at that address, known.get(absent) was null in settled(), and the exception lost the whole news, the drain of another upstream among them: Discovery had gone on to the new version before it told of it, so nobody asked for those news again.

Lines to blame: the loop over what is gone at the end of Directory.news, and settled(), which took every entry in turn. Ruled out: entries twice in a whole list (retain() keeps both books alike); malformed entries, which are turned away before.

The test fails without the mend, 3 of 3 (the drained upstream is still sent to, over loopback); with it 50 runs in a row pass.

--- a/sidecar/src/main/java/appleridge/membership/Directory.java
+++ b/sidecar/src/main/java/appleridge/membership/Directory.java
@@ -5,6 +5,7 @@
 import appleridge.decision.Balancer.Upstream;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -34,7 +35,8 @@
     }
 
     /** Takes in news of the list; who is missing from a whole one is gone. */
-    public News news(ListKind kind, List<Member> members) {
+    public News news(ListKind kind, List<Member> told) {
+        Collection<Member> members = last(told);
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             Set<String> listed = new HashSet<>();
             members.forEach(member -> listed.add(member.id()));
@@ -63,8 +65,19 @@
         return new News(kind, entries, addresses, ids);
     }
 
+    /**
+     * Of each the last word. Danger: a list of changes may have all that became of one since the last call,
+     * gone and there again; forgotten for the first of them, it would be missing when another one takes its
+     * address, and the news that tell of that would be lost whole.
+     */
+    private static Collection<Member> last(List<Member> told) {
+        Map<String, Member> last = new LinkedHashMap<>();
+        told.forEach(member -> last.put(member.id(), member));
+        return last.values();
+    }
+
     /** The members, and as gone those whose address another one has taken. */
-    private Map<String, Member> settled(List<Member> members) {
+    private Map<String, Member> settled(Collection<Member> members) {
         for (Member member : members) {
             if (member.state() == State.GONE) {
                 holders.forget(member.id());
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -289,4 +289,37 @@
             assertServed(host, one, two);
         }
     }
+
+    /** Watches that have their time also where the machine is slow. */
+    private static final Figures LONG_WATCHES = new Figures(TimeUnit.SECONDS.toNanos(10), 1000,
+            TimeUnit.SECONDS.toNanos(60));
+
+    private static String startedAt(long millis, String target) {
+        return target.replace("\"boot_ms\":0", "\"boot_ms\":" + millis);
+    }
+
+    /**
+     * Guards against news lost whole, here a drain, because an upstream that came back within one list of
+     * changes, or went again, was forgotten where it is needed: when another one takes its address.
+     */
+    @Test
+    void whatComesAndGoesWithinOneListOfChangesLosesNoNews() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD)) {
+            String gone = LoopbackNode.target("u0", one.address(), "Gone");
+            String again = startedAt(1000, LoopbackNode.target("u0", one.address(), "Ready"));
+            for (String[] changes : new String[][] {{gone, again}, {again, gone}}) {
+                try (LoopbackNode host = new LoopbackNode(LONG_WATCHES, LoopbackNode.targets(one, two))) {
+                    watchSince(host, 1);
+                    host.tell(LoopbackNode.list(2, false, changes));
+                    watchSince(host, 2);
+                    host.tell(LoopbackNode.list(3, false,
+                            startedAt(2000, LoopbackNode.target("u2", one.address(), "Ready")),
+                            LoopbackNode.target("u1", two.address(), "Terminating")));
+                    watchSince(host, 3);
+                    assertServed(host, one, two);
+                    assertEquals(0, host.discovery.requests.size(), "its news were no failure");
+                }
+            }
+        }
+    }
 }
