A watch that is answered at once with no news is not asked again without rest

Cause: Discovery.inTime called goOn() at once whatever the answer.

Now a watch whose answer has the same version is followed no sooner than 100 ms after it was asked: less than the 200 ms for which a watch goes on, and than the 250 ms in which drains may have to be heeded. News, plain calls and watches that waited go on as before. Ruled out: failures (the module backs off), a call beside an overdue watch (one each).

--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -54,6 +54,12 @@
     }
 
     private static final String LIST = "/registry/instances";
+    /**
+     * From one watch to the next, where the first had no news. Danger: who answers a watch at once, with what
+     * it has, would be asked over and over with no rest. A watch goes on if the next call comes within 200 ms
+     * of the answer, and drains may have to be heeded in 250.
+     */
+    private static final long BETWEEN_WATCHES = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final Loop loop;
     private final Sockets sockets;
@@ -68,6 +74,8 @@
     private RegistryConnection overdue;
     private Timers.Timer timeout = () -> { };
     private boolean calling;
+    /** When the watch that is out was asked; for a call that need not wait, 0. */
+    private long watchedAt;
     private boolean watching;
     private boolean failing;
     /** Nothing that this discovery says builds on what another one said. */
@@ -164,7 +172,9 @@
     }
 
     private void call(String uri, long wait) {
+        timeout.cancel();
         calling = true;
+        watchedAt = wait > 0 ? loop.now() : 0;
         if (connection == null || !connection.usable()) {
             if (connection != null) {
                 connection.drop();
@@ -246,9 +256,15 @@
         }
         done();
         dropOverdue();
+        boolean news = update.revision() != revision;
         revision = update.revision();
         wholeFirst &= update.kind() != ListKind.FULL;
-        goOn();
+        long rest = watchedAt + BETWEEN_WATCHES - loop.now();
+        if (news || rest <= 0) {
+            goOn();
+        } else {
+            timeout = loop.after(rest, this::goOn);
+        }
         told(update);
     }
 
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -5,7 +5,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -322,4 +324,36 @@
             }
         }
     }
+
+    /**
+     * Guards against a loop that does nothing but ask, where watches are answered at once though there is no
+     * news: the next one waits, but not for longer than a watch goes on.
+     */
+    @Test
+    void whoAnswersWatchesAtOnceIsNotAskedWithoutRest() throws Exception {
+        BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                StubUpstream hasty = new StubUpstream((socket, request) -> {
+                    asked.add(System.nanoTime());
+                    StubUpstream.write(socket, StubUpstream.answer("200 OK", LoopbackNode.list(2, true,
+                            LoopbackNode.target("u1", two.address(), "Ready"))));
+                    return true;
+                });
+                LoopbackNode host = new LoopbackNode(LONG_WATCHES, null, json -> json.replaceAll(
+                        "\"discovery\":\"127[^\"]*\"", "\"discovery\":\"" + hasty.address() + "\""),
+                        LoopbackNode.targets(one, two))) {
+            // The first one has news, and is followed by the next at once.
+            asked.take();
+            long second = asked.take();
+            long last = second;
+            for (int i = 0; i < 10; i++) {
+                last = asked.take();
+            }
+            long took = TimeUnit.NANOSECONDS.toMillis(last - second);
+            assertTrue(took >= 500, "ten watches took " + took);
+            assertTrue(hasty.nextRequest().contains("?since=1&"));
+            assertTrue(hasty.nextRequest().contains("?since=2&"));
+            assertServed(host, two, one);
+        }
+    }
 }
