A call beside an overdue watch is listened to when discovery moves, not the watch

Cause: Discovery.moveTo kept what was overdue and dropped the connection in use. Where a watch is overdue and asked beside, that is the wrong one of the two: the watch has been silent for half a second beyond its time, the call is the one that discovery answers. What its answer tells (a drain) counts as told when it is written, and was not heeded while the new discovery said nothing yet.

Line to blame: 'if (overdue == null) ... else if (connection != null) connection.drop()' in moveTo. With a second move before the new discovery has answered (wholeFirst is set) the oldest connection stays, as before. Ruled out: a watch that is in time (kept already); an answer of the new one first (both are dropped then).

--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -137,6 +137,10 @@
     @Override
     public void moveTo(InetSocketAddress other) {
         done();
+        // Danger: of a watch that is overdue and the call beside it, the call is the one that is answered.
+        if (connection != null && !wholeFirst) {
+            dropOverdue();
+        }
         if (overdue == null) {
             overdue = connection;
         } else if (connection != null) {
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -356,4 +356,38 @@
             assertServed(host, two, one);
         }
     }
+
+    /**
+     * Guards against a drain that is lost with the call beside an overdue watch: discovery has it already as
+     * the sidecar is told to ask another one, which says nothing yet.
+     */
+    @Test
+    void whatTheOldDiscoveryAnswersBesideAnOverdueWatchIsHeededThoughTheNewOneIsSilent() throws Exception {
+        Figures shortWatch = new Figures(TimeUnit.SECONDS.toNanos(10), 1000,
+                TimeUnit.MILLISECONDS.toNanos(400));
+        CountDownLatch moved = new CountDownLatch(1);
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
+                StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream old = new StubUpstream((socket, request) -> {
+                    if (!request.contains("since=")) {
+                        moved.await();
+                        StubUpstream.write(socket, StubUpstream.answer("200 OK", LoopbackNode.list(2, true,
+                                LoopbackNode.target("u0", one.address(), "Terminating"),
+                                LoopbackNode.target("u1", two.address(), "Ready"))));
+                    }
+                    return true;
+                });
+                LoopbackNode host = new LoopbackNode(shortWatch, null, json -> json.replaceAll(
+                        "\"discovery\":\"127[^\"]*\"", "\"discovery\":\"" + old.address() + "\""),
+                        LoopbackNode.targets(one, two))) {
+            untilAsked(old, " HTTP");
+            host.node.follow(Config.address(silent.address()));
+            untilAsked(silent, " HTTP");
+            moved.countDown();
+            // One is closed with the move, the other one when its answer has been read.
+            old.awaitClosed();
+            old.closed.poll(2, TimeUnit.SECONDS);
+            assertServed(host, two, one);
+        }
+    }
 }
