After a stand-still requests wait for an answer that was asked for since, where lists are pushed

Cause: after the loop stood still for longer than drains allow, Exchanges kept requests back until news of the list came, and took any news for that, also the answer of a watch that was written early in the stand-still. Where lists are pushed, what the agent has got after that answer counts as told though no watch is open: requests read in the same turn went to upstreams that had drained for longer than allowed. The same where discovery is asked and the loop stood still for longer than the settings give for asking.

Lines to blame: Discovery.catchUp, which read what was there and left isCaughtUp at its default (true). Now a watch that was answered, by catchUp or in the same turn before it, is followed by a call for the whole list, and the list is behind until that is answered (half a second at most, as before). Where the watch is still out there was nothing to tell, and nothing more is asked. Ruled out: discovery that is asked, within its time: what has not been written to the sidecar does not count as told.

The test holds the loop still for 400 ms with drains of 250 ms.

--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -29,14 +29,15 @@
      * @param patience a call that need not wait
      * @param wholeAgain what has failed is followed by a call for the whole list, which need not wait, and
      *     not by a watch
+     * @param holds for so long after a call no more counts as told than what was written
      */
-    public record Pace(long watch, long late, long patience, boolean wholeAgain) {
+    public record Pace(long watch, long late, long patience, boolean wholeAgain, long holds) {
         /**
          * Where an agent on the same machine has what is pushed. It answers at once or, while what is behind
          * it is down, not at all; and when it is back what it has counts as told, by whatever call.
          */
         public static final Pace AGENT = new Pace(TimeUnit.SECONDS.toNanos(1),
-                TimeUnit.MILLISECONDS.toNanos(250), TimeUnit.MILLISECONDS.toNanos(150), true);
+                TimeUnit.MILLISECONDS.toNanos(250), TimeUnit.MILLISECONDS.toNanos(150), true, 0);
         /** The protocol's longest wait. */
         private static final long LONGEST_WATCH = TimeUnit.SECONDS.toNanos(60);
 
@@ -49,7 +50,7 @@
          */
         public static Pace asked(long within) {
             return new Pace(Math.min(LONGEST_WATCH, within / 4), TimeUnit.MILLISECONDS.toNanos(500),
-                    TimeUnit.SECONDS.toNanos(3), false);
+                    TimeUnit.SECONDS.toNanos(3), false, within);
         }
     }
 
@@ -61,6 +62,9 @@
      */
     private static final long BETWEEN_WATCHES = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /** A call that is out for less was made after a stand-still, and not before it. */
+    private static final long JUST_ASKED = TimeUnit.MILLISECONDS.toNanos(100);
+
     private final Loop loop;
     private final Sockets sockets;
     private InetSocketAddress address;
@@ -76,6 +80,11 @@
     private boolean calling;
     /** When the watch that is out was asked; for a call that need not wait, 0. */
     private long watchedAt;
+    private long askedAt;
+    private long askedBefore;
+    /** More may count as told than has come; the answer to a call for the whole list brings it. */
+    private boolean behind;
+    private boolean catchingUp;
     private boolean watching;
     private boolean failing;
     /** Nothing that this discovery says builds on what another one said. */
@@ -119,14 +128,43 @@
         call(LIST, 0);
     }
 
+    /**
+     * Danger: a watch may have been answered long since, and what has come to discovery after that may count
+     * as told too; the old answer alone would let requests go on to who has drained meanwhile. So after one
+     * all is asked for, and that answer tells. Where a watch is still out there was nothing to tell.
+     */
     @Override
     public void catchUp() {
+        long now = loop.now();
+        long asked = askedAt;
+        boolean justAsked = now - asked < JUST_ASKED;
+        boolean wasBehind = behind;
+        behind |= now - (justAsked ? askedBefore : asked) > pace.holds;
+        catchingUp = true;
         if (overdue != null) {
             overdue.readNow();
         }
         if (connection != null) {
             connection.readNow();
         }
+        catchingUp = false;
+        if (!behind || !watching) {
+            return;
+        }
+        boolean watchIsOut = calling && watchedAt > 0 && asked == askedAt;
+        if (watchIsOut && justAsked) {
+            timeout.cancel();
+            askBeside();
+        } else if (watchIsOut) {
+            behind = wasBehind;
+        } else if (!calling && !failing) {
+            watch();
+        }
+    }
+
+    @Override
+    public boolean isCaughtUp() {
+        return !behind;
     }
 
     /**
@@ -167,7 +205,7 @@
     }
 
     private void watch() {
-        if (wholeFirst || failing && pace.wholeAgain) {
+        if (wholeFirst || behind || failing && pace.wholeAgain) {
             call(LIST, 0);
             return;
         }
@@ -178,7 +216,9 @@
     private void call(String uri, long wait) {
         timeout.cancel();
         calling = true;
-        watchedAt = wait > 0 ? loop.now() : 0;
+        askedBefore = askedAt;
+        askedAt = loop.now();
+        watchedAt = wait > 0 ? askedAt : 0;
         if (connection == null || !connection.usable()) {
             if (connection != null) {
                 connection.drop();
@@ -260,6 +300,7 @@
         }
         done();
         dropOverdue();
+        behind &= catchingUp || watchedAt > 0;
         boolean news = update.revision() != revision;
         revision = update.revision();
         wholeFirst &= update.kind() != ListKind.FULL;
--- /dev/null
+++ b/sidecar/src/test/java/appleridge/daemon/CatchingUpTest.java
@@ -0,0 +1,193 @@
+package appleridge.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import appleridge.config.Config;
+import appleridge.decision.SymmetricRoundRobin;
+import appleridge.exchange.Books;
+import appleridge.transport.Loop;
+import appleridge.transport.NioSockets;
+import appleridge.transport.SystemLog;
+import appleridge.transport.SystemTime;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Requests that are read ahead of what counts as told. The order is forced: the loop is held still while the
+ * test's discovery and clients write, and discovery's next answer waits until a request has had its chance.
+ */
+@Timeout(60)
+class CatchingUpTest {
+    private static final StubUpstream.Script GOOD = StubUpstream.says(StubUpstream.answer("200 OK", "fine"));
+    private static final String READY = "GET /health/ready HTTP/1.1\r\n\r\n";
+    /** Longer than drains allow here. */
+    private static final long STILL_MILLIS = 400;
+
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private Node node;
+    private InetSocketAddress address;
+
+    @AfterEach
+    void end() throws Exception {
+        if (node != null) {
+            loop.submit(() -> node.close()).get();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static String pushed(String json) {
+        return json.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"")
+                .replaceAll("\"askWithin\":[0-9]*,", "");
+    }
+
+    private void begin(StubUpstream discovery, UnaryOperator<String> changed, String... targets)
+            throws Exception {
+        LoopbackNode.Figures longWatches = new LoopbackNode.Figures(TimeUnit.SECONDS.toNanos(10), 1000,
+                TimeUnit.SECONDS.toNanos(60));
+        String json = changed.apply(LoopbackNode.json(longWatches, discovery.address(), targets))
+                .replace("\"stopSendingWithin\":2000000000", "\"stopSendingWithin\":250000000");
+        Config config = Config.parse(new ObjectMapper().readTree(json))
+                .listeningAt(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Loop time = new Loop(loop, SystemTime.UNIX_MILLIS,
+                new SystemLog(loop.ticker()::nanoTime, System.Logger.Level.INFO));
+        node = loop.submit(() -> new Node(time, new NioSockets(), config, Tuning.USUAL,
+                SymmetricRoundRobin::new)).get();
+        address = (InetSocketAddress) node.listening().sync().channel().localAddress();
+    }
+
+    /** The loop stands still from before this returns until what it returns is counted down, and so long. */
+    private CountDownLatch standStill() throws InterruptedException {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        loop.execute(() -> {
+            begun.countDown();
+            try {
+                over.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS);
+                Thread.sleep(STILL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        assertTrue(begun.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+        return over;
+    }
+
+    private List<TestClient> clients(int many) throws Exception {
+        List<TestClient> all = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            all.add(new TestClient(address));
+            all.get(i).ask(READY);
+        }
+        return all;
+    }
+
+    /** An agent that answers with what it has, a watch when that is newer; or holds all answers back. */
+    private static final class Agent implements StubUpstream.Script {
+        final BlockingQueue<Long> answered = new LinkedBlockingQueue<>();
+        private String list;
+        private long revision;
+        private boolean holds;
+
+        Agent(String... targets) {
+            has(1, false, targets);
+        }
+
+        synchronized void has(long version, boolean holdsBack, String... targets) {
+            revision = version;
+            list = LoopbackNode.list(version, true, targets);
+            holds(holdsBack);
+        }
+
+        synchronized void holds(boolean now) {
+            holds = now;
+            notifyAll();
+        }
+
+        @Override
+        public synchronized boolean serve(Socket socket, String request) throws IOException,
+                InterruptedException {
+            int since = request.indexOf("since=");
+            long known = since < 0 ? 0
+                    : Long.parseLong(request.substring(since + 6, request.indexOf('&', since)));
+            while (holds || known >= revision) {
+                wait();
+            }
+            StubUpstream.write(socket, StubUpstream.answer("200 OK", list));
+            answered.add(revision);
+            return true;
+        }
+    }
+
+    private Books books() {
+        try {
+            return loop.submit(() -> node.books()).get();
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void await(String what, BooleanSupplier holds) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LoopbackNode.PATIENCE_SECONDS);
+        while (!holds.getAsBoolean()) {
+            assertTrue(System.nanoTime() < until, what);
+            Thread.sleep(1);
+        }
+    }
+
+    /**
+     * Guards against requests that go by an answer from early in a stand-still, where lists are pushed: what
+     * the agent has got after that counts as told, though no watch was open.
+     */
+    @Test
+    void afterAStandStillRequestsWaitForWhatThePushedListHasComeToSince() throws Exception {
+        try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD)) {
+            String first = LoopbackNode.target("u0", one.address(), "Ready");
+            Agent agent = new Agent(first);
+            try (StubUpstream discovery = new StubUpstream(agent)) {
+                begin(discovery, CatchingUpTest::pushed, first);
+                while (!discovery.nextRequest().contains("since=1&")) {
+                    Thread.onSpinWait();
+                }
+                List<TestClient> clients = clients(3);
+                agent.answered.clear();
+                CountDownLatch over = standStill();
+                agent.has(2, false, first);
+                agent.answered.take();
+                agent.has(3, true, LoopbackNode.target("u0", one.address(), "Terminating"),
+                        LoopbackNode.target("u1", two.address(), "Ready"));
+                for (TestClient each : clients) {
+                    each.send(TestClient.request("read", "3.0"));
+                }
+                over.countDown();
+                await("read", () -> books().open() == clients.size() || !one.requests.isEmpty());
+                assertEquals(0, one.requests.size(), "sent to who has drained since");
+                agent.holds(false);
+                for (TestClient each : clients) {
+                    assertEquals(200, TestClient.status(each.read()));
+                    each.close();
+                }
+                assertEquals(0, one.requests.size(), "sent to who has drained since");
+            }
+        }
+    }
+}
