A new process hears a pushed list before it sends its first request

Cause: where lists are pushed, what the agent has counts as told from the first moment of a new process, and a start takes longer than drains may allow. Requests that were read before the agent's first answer went by the list of before the start (known), and the first call was a watch. Lines to blame: Exchanges.start, which kept nothing back whatever its source said of itself; Discovery, which began as if it were caught up.

Now a source of pushed lists begins behind: the first call asks for the whole list, and requests wait for its answer, half a second at most, as they do after a stand-still. Ruled out: discovery that is asked (a sidecar is held to the list that it has from its first call on); ephemeral nodes, whose source begins as before.

--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -99,6 +99,10 @@
     /** Begins with the list as last known. */
     public void start(Lists source, List<Upstream> cached, Map<Long, InetSocketAddress> listed) {
         lists = source;
+        if (!source.isCaughtUp()) {
+            // Danger: what is known from before the start may be long out of date, and requests come at once.
+            awaitList();
+        }
         tell(() -> balancer.start(time.now()));
         listChanged(ListKind.CACHED, cached, listed);
     }
@@ -210,8 +214,7 @@
         boolean stood = now - beat > stoodStill;
         if (stood) {
             if (now - beat > settings.limits().drainGrace() && unheard == null) {
-                unheard = new ArrayList<>();
-                listAwaited = timers.at(now + LIST_AWAITED, this::hear);
+                awaitList();
             }
             stoodStillUntil = now;
         }
@@ -302,6 +305,11 @@
         return () -> hangUp(call);
     }
 
+    private void awaitList() {
+        unheard = new ArrayList<>();
+        listAwaited = timers.at(time.now() + LIST_AWAITED, this::hear);
+    }
+
     /** What has been kept from the module is told now. */
     private void hear() {
         if (unheard != null) {
--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -103,6 +103,8 @@
         this.lists = lists;
         this.sink = sink;
         this.pace = pace;
+        // Danger: where lists are pushed, what the agent has counts as told before a new process has asked.
+        this.behind = pace.holds == 0;
     }
 
     @Override
--- a/sidecar/src/test/java/appleridge/daemon/CatchingUpTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/CatchingUpTest.java
@@ -47,11 +47,16 @@
     private Node node;
     private InetSocketAddress address;
 
-    @AfterEach
-    void end() throws Exception {
+    private void end() throws Exception {
         if (node != null) {
             loop.submit(() -> node.close()).get();
+            node = null;
         }
+    }
+
+    @AfterEach
+    void endAll() throws Exception {
+        end();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
@@ -180,7 +185,7 @@
                 }
                 over.countDown();
                 await("read", () -> books().open() == clients.size() || !one.requests.isEmpty());
-                assertEquals(0, one.requests.size(), "sent to who has drained since");
+                assertEquals(0, books().attempts(), "sent before the list is known");
                 agent.holds(false);
                 for (TestClient each : clients) {
                     assertEquals(200, TestClient.status(each.read()));
@@ -190,4 +195,39 @@
             }
         }
     }
+
+    /**
+     * Guards against requests that go by the list of before the start, where lists are pushed: what the agent
+     * has counts as told from the first moment of a new process.
+     */
+    @Test
+    void aNewProcessHearsThePushedListBeforeItsFirstRequest() throws Exception {
+        // Once with an agent that answers at once, or classes that are yet to load may take all of its wait.
+        for (boolean heldBack : new boolean[] {false, true}) {
+            try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD)) {
+                Agent agent = new Agent();
+                agent.has(2, heldBack, LoopbackNode.target("u0", one.address(), "Terminating"),
+                        LoopbackNode.target("u1", two.address(), "Ready"));
+                try (StubUpstream discovery = new StubUpstream(agent)) {
+                    begin(discovery, CatchingUpTest::pushed,
+                            LoopbackNode.target("u0", one.address(), "Ready"));
+                    askFirst(agent, heldBack, one);
+                }
+                end();
+            }
+        }
+    }
+
+    private void askFirst(Agent agent, boolean heldBack, StubUpstream drained) throws Exception {
+        try (TestClient client = new TestClient(address)) {
+            client.send(TestClient.request("read", "3.0"));
+            if (heldBack) {
+                await("read", () -> books().open() == 1 || !drained.requests.isEmpty());
+                assertEquals(0, books().attempts(), "sent before the list is known");
+                agent.holds(false);
+            }
+            assertEquals(200, TestClient.status(client.read()));
+            assertEquals(0, drained.requests.size(), "sent to who has drained since");
+        }
+    }
 }
