A long turn of the loop looks after clients as a late one does

What is held is not sent once its client has left, also where the loop was late: a late beat looks at the clients first. Late meant that no event had come for 150 ms. Where much is read at once, each of it costing some time, every event beats, none is late, and yet what is read last has waited for as long as all of it took: an answer that made room was read ahead of the end of who waited for the room, and the request was sent on half a second after its client had left.

To blame: Exchanges.beat measured from the last event of any kind. When requests came (cameAt) is reckoned as before, so that no more of their time is lost. What comes from outside calls heed, the timer alone calls beat.

Ruled out: the end of service and lists; the 320 ms test of a loop that stands still passes either way.

--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -72,6 +72,10 @@
     private long lateUntil;
     /** The end of the first of late turns in a row. */
     private long lateSince;
+    /** When all that was there had last been read, or clients had been looked after. */
+    private long looked;
+    /** The end of the last stretch of work so long that clients were looked after in it. */
+    private long crowdedUntil;
     private long endsAt = Long.MAX_VALUE;
     private Tally tally = Tally.NONE;
 
@@ -93,6 +97,8 @@
         this.beat = time.now();
         this.stoodStillUntil = beat - AFTERMATH;
         this.lateUntil = beat - AFTERMATH;
+        this.looked = beat;
+        this.crowdedUntil = beat - AFTERMATH;
         this.balancer = module.apply(this);
     }
 
@@ -141,7 +147,7 @@
         // Danger: what a beat takes in is newer than this, and would be told to the module ahead of it.
         tell(() -> balancer.listChanged(time.now(), kind, entries));
         callOffWhatHasNotBegun();
-        beat();
+        heed();
         if (kind != ListKind.FAILED && lists.isCaughtUp()) {
             hear();
         }
@@ -203,12 +209,21 @@
     }
 
     /**
-     * To be called now and then, at least some times as often as a stand-still is long. Danger: after the
-     * thread stood still, what discovery told meanwhile waits unread behind requests that have come too, and
-     * the time within which it must be heeded has run. All that comes from outside begins with this, ahead of
-     * anything it changes here: the module may act on what is read, and must find things as it knows them.
+     * To be called now and then, at least some times as often as a stand-still is long, and by a timer: all
+     * that was there has been read by then.
      */
     public void beat() {
+        heed();
+        looked = beat;
+    }
+
+    /**
+     * Danger: after the thread stood still, what discovery told meanwhile waits unread behind requests that
+     * have come too, and the time within which it must be heeded has run. All that comes from outside begins
+     * with this, ahead of anything it changes here: the module may act on what is read, and must find things
+     * as it knows them.
+     */
+    private void heed() {
         long now = time.now();
         boolean late = now - beat > LATE;
         boolean stood = now - beat > stoodStill;
@@ -228,7 +243,16 @@
             lateUntil = now;
         }
         beat = now;
-        if (late && lists != null && !catchingUp) {
+        // Danger: where much is read at once, one after the other, no beat is missed, and yet what is read
+        // last has waited for as long as all of it took.
+        boolean crowded = now - looked > LATE;
+        if (crowded) {
+            crowdedUntil = now;
+        }
+        if (late || crowded) {
+            looked = now;
+        }
+        if ((late || crowded) && lists != null && !catchingUp) {
             catchingUp = true;
             try {
                 if (stood) {
@@ -258,8 +282,8 @@
      * Danger: its client may have given up since, and it would be sent as if it had just come.
      */
     public boolean mayHaveWaited() {
-        beat();
-        return beat - stoodStillUntil < AFTERMATH || beat - lateUntil < LATE;
+        heed();
+        return beat - stoodStillUntil < AFTERMATH || beat - lateUntil < LATE || beat - crowdedUntil < LATE;
     }
 
     /**
@@ -268,13 +292,13 @@
      * what is read soon after the thread was late counts as having come at its last beat before.
      */
     public long cameAt() {
-        beat();
+        heed();
         return beat - lateUntil < LATE ? lateFrom : beat;
     }
 
     /** Takes a request over; what is returned is to be run when its client leaves. */
     public Runnable accept(ClientRequest request, Front client) {
-        beat();
+        heed();
         tally.taken(request.requestClass());
         if (open >= maxOpen) {
             // Nothing was sent for it, so that a repeat is harmless.
@@ -334,7 +358,7 @@
 
     /** The module has not answered in time: nothing more is to be done for it there either. */
     private void giveUp(Call call) {
-        beat();
+        heed();
         fail(call, Front.Cause.LATE);
         callOffWhatNobodyWaitsFor(call);
         callOffWhatTheModuleLeaves(call);
@@ -342,7 +366,7 @@
     }
 
     private void hangUp(Call call) {
-        beat();
+        heed();
         if (!call.over) {
             end(call, Tally.End.LEFT);
             callOffWhatNobodyWaitsFor(call);
@@ -405,25 +429,25 @@
 
                     @Override
                     public boolean begins(Flow answer) {
-                        beat();
+                        heed();
                         return begun(attempt, answer);
                     }
 
                     @Override
                     public void letGo() {
-                        beat();
+                        heed();
                         Exchanges.this.letGo(attempt);
                     }
 
                     @Override
                     public void committed() {
-                        beat();
+                        heed();
                         timeRuns(attempt);
                     }
 
                     @Override
                     public void ended(Outcome outcome, Reply reply) {
-                        beat();
+                        heed();
                         Exchanges.this.ended(attempt, outcome, reply);
                     }
                 });
@@ -454,7 +478,7 @@
     }
 
     private void due(Attempt attempt) {
-        beat();
+        heed();
         if (attempt.done) {
             return;
         }
@@ -647,7 +671,7 @@
     public void timer(long token, long at) {
         timers.at(at, () -> {
             if (!closed) {
-                beat();
+                heed();
                 tell(() -> balancer.timer(time.now(), token));
             }
         });
--- a/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -1,9 +1,11 @@
 package appleridge.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import appleridge.config.Config;
+import appleridge.decision.Balancer;
 import appleridge.decision.SymmetricRoundRobin;
 import appleridge.exchange.Books;
 import appleridge.transport.Loop;
@@ -16,6 +18,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -60,6 +63,9 @@
     private final EventLoop loop = group.next();
     private Node node;
     private InetSocketAddress address;
+    /** Where not null, each request costs the module some time, and the first one waits for this. */
+    private volatile CountDownLatch turnGoesOn;
+    private volatile CountDownLatch turnBegun;
 
     @AfterEach
     void end() throws Exception {
@@ -83,7 +89,7 @@
         Loop time = new Loop(loop, SystemTime.UNIX_MILLIS,
                 new SystemLog(loop.ticker()::nanoTime, System.Logger.Level.INFO));
         node = loop.submit(() -> new Node(time, new NioSockets(), config, Tuning.USUAL,
-                SymmetricRoundRobin::new)).get();
+                (settings, seed, actions) -> slow(new SymmetricRoundRobin(settings, seed, actions)))).get();
         address = (InetSocketAddress) node.listening().sync().channel().localAddress();
     }
 
@@ -409,9 +415,9 @@
     }
 
     /**
-     * Guards against what comes behind a new connection's first request, all of it sent at once and its client
-     * gone: as much as the first, it may have waited until the connection was accepted. The loop is held for
-     * too short a time to be late, and an idle connection to the upstream would take what is sent at once.
+     * Guards against what comes behind a new connection's first request, all of it sent at once and its
+     * client gone: as much as the first, it may have waited until the connection was accepted. The loop is
+     * held too shortly to be late, and an idle connection to the upstream takes what is sent at once.
      */
     @Test
     void whatComesAtOnceOnANewConnectionIsNotSentWhenItsClientHasGone() throws Exception {
@@ -475,6 +481,84 @@
         }
     }
 
+    /**
+     * The same where the loop never stands still and yet comes late to what it reads: one turn is long, for
+     * each of many requests costs some time in it. In that turn comes what makes room, and the end of who
+     * waits for the room behind it.
+     */
+    @Test
+    void whatIsHeldIsNotSentWhereRoomCameLateInALongTurn() throws Exception {
+        for (boolean resets : new boolean[] {false, true}) {
+            CountDownLatch gate = new CountDownLatch(1);
+            CountDownLatch answered = new CountDownLatch(2);
+            StubUpstream.Script script = (socket, request) -> {
+                boolean waits = "busy".equals(StubUpstream.header(request, "x-name"));
+                (waits ? after(gate) : GOOD).serve(socket, request);
+                if (waits) {
+                    answered.countDown();
+                }
+                return true;
+            };
+            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                    StubUpstream upstream = new StubUpstream(script)) {
+                begin(discovery, json -> json, LoopbackNode.targets(upstream));
+                List<TestClient> many = new ArrayList<>();
+                for (int i = 0; i < 6; i++) {
+                    many.add(new TestClient(address));
+                    assertEquals(200, TestClient.status(many.get(i).ask(TestClient.request("read", "3.0"))));
+                }
+                List<TestClient> busy = new ArrayList<>();
+                for (int i = 0; i < 2; i++) {
+                    busy.add(new TestClient(address));
+                    busy.get(i).send(TestClient.request("read", "3.0", "X-Name: busy"));
+                }
+                await("sent", () -> upstream.requests.size() == many.size() + busy.size());
+                TestClient leaving = new TestClient(address);
+                leaving.send(TestClient.request("read", "3.0", "X-Name: gone"));
+                await("held", () -> books().open() == 3);
+                assertEquals(2, books().attempts());
+                turnBegun = new CountDownLatch(1);
+                turnGoesOn = new CountDownLatch(1);
+                CountDownLatch asked = standStill(0);
+                for (TestClient each : many) {
+                    each.send(TestClient.request("read", "0.001"));
+                }
+                asked.countDown();
+                assertTrue(turnBegun.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                gate.countDown();
+                assertTrue(answered.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+                new Leaving(1, resets).leave(List.of(leaving));
+                turnGoesOn.countDown();
+                for (TestClient each : busy) {
+                    assertEquals(200, TestClient.status(each.read()));
+                    each.close();
+                }
+                for (TestClient each : many) {
+                    each.read();
+                    each.close();
+                }
+                await("gone", () -> books().calls() == 0);
+                for (String each : upstream.requests) {
+                    assertNotEquals("gone", StubUpstream.header(each, "x-name"), each);
+                }
+                turnGoesOn = null;
+                closeNode();
+            }
+        }
+    }
+
+    /** A module that takes its time over each request, as one on a crowded machine does. */
+    private Balancer slow(Balancer module) {
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                    if (method.getName().equals("request") && turnGoesOn != null) {
+                        turnBegun.countDown();
+                        stand(turnGoesOn, 90);
+                    }
+                    return method.invoke(module, arguments);
+                });
+    }
+
     /** The loop stands still from before this returns until what it returns is counted down, and so long. */
     private CountDownLatch standStill(long millis) throws InterruptedException {
         CountDownLatch begun = new CountDownLatch(1);
