After a stand-still requests do not wait for a watch that has nothing to tell

Cause: after the loop stood still for longer than drains allow, requests were kept back until news of the list came, half a second at most. Where the watch is still out there is no news: all requests of that half second waited for nothing, and where classes allow less, as with drains of 250 ms and deadlines of some 100 ms, each of them failed at the end of its time with no attempt.

Lines to blame: Exchanges.beat with Discovery.catchUp, which said nothing where it read nothing. Now it tells an empty change where the watch is out in time: what has been written to it has just been read. A watch that is overdue by then is asked beside at once, and requests wait for that answer as before; so they do where discovery fails or a call for the whole list is out. Ruled out: news lost by it, as what is not written does not count as told where discovery is asked, and an agent answers at once.

The test holds the loop still for 400 ms with drains of 250 ms.

--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -150,16 +150,18 @@
             connection.readNow();
         }
         catchingUp = false;
-        if (!behind || !watching) {
-            return;
-        }
-        boolean watchIsOut = calling && watchedAt > 0 && asked == askedAt;
-        if (watchIsOut && justAsked) {
+        boolean watchIsOut = watching && calling && watchedAt > 0 && asked == askedAt;
+        if (watchIsOut && (behind && justAsked || now - watchedAt > pace.watch + pace.late)) {
+            behind = true;
             timeout.cancel();
             askBeside();
         } else if (watchIsOut) {
             behind = wasBehind;
-        } else if (!calling && !failing) {
+            if (!failing) {
+                // Danger: kept back for word of the list, requests would wait for a watch that has none.
+                sink.told(ListKind.DELTA, List.of());
+            }
+        } else if (behind && watching && !calling && !failing) {
             watch();
         }
     }
--- a/sidecar/src/test/java/appleridge/daemon/CatchingUpTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/CatchingUpTest.java
@@ -230,4 +230,34 @@
             assertEquals(0, drained.requests.size(), "sent to who has drained since");
         }
     }
+
+    /**
+     * Guards against requests that wait for word of the list, and are late or lost for it, where there is
+     * none: the watch is still out, and what is written to it would have been read.
+     */
+    @Test
+    void afterAStandStillNothingWaitsForAWatchThatHasNothingToTell() throws Exception {
+        CountDownLatch gate = new CountDownLatch(1);
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream((socket, request) -> {
+                    gate.await();
+                    return GOOD.serve(socket, request);
+                })) {
+            begin(discovery, json -> json, LoopbackNode.targets(upstream));
+            assertTrue(discovery.nextRequest().contains("since=1&"));
+            TestClient client = clients(1).get(0);
+            CountDownLatch over = standStill();
+            client.send(TestClient.request("read", "3.0"));
+            over.countDown();
+            Books[] seen = new Books[1];
+            await("read", () -> {
+                seen[0] = books();
+                return seen[0].open() == 1;
+            });
+            assertEquals(1, seen[0].attempts(), "sent in the turn in which it was read");
+            gate.countDown();
+            assertEquals(200, TestClient.status(client.read()));
+            client.close();
+        }
+    }
 }
