A connect time-out of more than 24 days no longer keeps all connections from being made

Cause: Connector cast the time-out in milliseconds to an int; of more than 2^31 of them a part is left that may be negative, which the channel's options turn away, so every request was refused (503). Line to blame: the cast in Connector's constructor.

Found by a table of legal but odd settings, each of which is started over loopback and served with a request of each class: no tenants, no zones, quotas of nothing, one try, no cancelling, a window of repeats of 0, endless deadlines, idle times and ramps, 64 sockets, no list from before the start and others. All others were served before, too: ruled out.

--- a/sidecar/src/main/java/appleridge/transport/Connector.java
+++ b/sidecar/src/main/java/appleridge/transport/Connector.java
@@ -46,7 +46,9 @@
     public Connector(Loop loop, Sockets sockets, long timeout, Consumer<Channel> initializer) {
         this.loop = loop;
         this.sockets = sockets;
-        this.timeoutMillis = (int) Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeout));
+        // Danger: of more than an int holds a part is left that may be negative, and no connection is made.
+        this.timeoutMillis = (int) Math.min(Integer.MAX_VALUE,
+                Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeout)));
         this.handler = new Initializer(initializer);
     }
 
