--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -424,7 +424,7 @@
                      */
                     @Override
                     public void connected() {
-                        beat();
+                        heed();
                     }
 
                     @Override
