--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -56,9 +56,9 @@
 
     private static final String LIST = "/registry/instances";
     /**
-     * From one watch to the next, where the first had no news. Danger: who answers a watch at once, with what
-     * it has, would be asked over and over with no rest. A watch goes on if the next call comes within 200 ms
-     * of the answer, and drains may have to be heeded in 250.
+     * From one watch at an agent to the next, where the first had no news. Danger: an agent that answers a
+     * watch at once, with what it has, would be asked over and over with no rest. Drains may have to be
+     * heeded in 250 ms. A discovery that is asked keeps a watch waiting, and is asked again at once.
      */
     private static final long BETWEEN_WATCHES = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -309,7 +309,7 @@
         revision = update.revision();
         wholeFirst &= update.kind() != ListKind.FULL;
         long rest = watchedAt + BETWEEN_WATCHES - loop.now();
-        if (news || rest <= 0) {
+        if (news || rest <= 0 || !pace.wholeAgain) {
             goOn();
         } else {
             timeout = loop.after(rest, this::goOn);
