--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -326,8 +326,8 @@
     }
 
     /**
-     * Guards against a loop that does nothing but ask, where an agent answers watches at once though it has no
-     * news: the next one waits, but not for longer than a watch goes on.
+     * Guards against a loop that does nothing but ask, where an agent answers watches at once though it has
+     * no news: the next one waits, but not for longer than a watch goes on.
      */
     @Test
     void whoAnswersWatchesAtOnceIsNotAskedWithoutRest() throws Exception {
