--- a/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
@@ -11,6 +11,8 @@
 
 /** One request on its way to an upstream: ends once, by a result or by being abandoned. */
 final class UpstreamExchange implements Upstreams.Sending {
+    /** Nanoseconds. */
+    private static final long SHORTEST = 1_000_000;
     private final OutgoingRequest request;
     private final Window window;
     private final Upstreams.Listener listener;
@@ -37,9 +39,12 @@
         return !over;
     }
 
-    /** Whether its first byte may still go out. */
+    /**
+     * Whether its first byte may still go out. Danger: with less than a millisecond left, which is what the
+     * protocol's three decimals tell, its upstream would be told of no time at all.
+     */
     boolean mayBegin(long now) {
-        return now <= window.firstByteBy();
+        return now <= window.firstByteBy() && window.until() - now >= SHORTEST;
     }
 
     /** Whether there is a time after which its last byte must not go out, though its answer is waited for. */
