Stalls and spins of the event loop, ends of requests and attempts, drain and accept gate are logged

Need: the incident's logs held a dozen lines a process; nothing said that the loop was late, that it turned without events, why a request ended or a connection was closed. Added: events with stable names and keyed fields, each kind limited to one a second with a count of those left out (a limit over all kinds would let a frequent one hide a rare one); turns of the loop, counted where it looks for events; stalls, spins, longest lag, client re-checks and changes of the accept gate in METRICS. Nothing is decided by any of it.

--- a/sidecar/src/main/java/appleridge/daemon/OperatorsDesk.java
+++ b/sidecar/src/main/java/appleridge/daemon/OperatorsDesk.java
@@ -32,6 +32,13 @@
                 .gauge("upstream_connections", service.pool::connections)
                 .gauge("upstreams_ready", service.exchanges::ready)
                 .gauge("upstreams_suspended", () -> maintenance.out().size())
+                .gauge("event_loop_turns", loop::turns)
+                .gauge("event_loop_events", service.exchanges::events)
+                .gauge("event_loop_stalls", service.server.monitor()::stalls)
+                .gauge("event_loop_spins", service.server.monitor()::spins)
+                .gauge("event_loop_longest_lag_milliseconds", service.server.monitor()::longestLagMillis)
+                .gauge("client_checks_after_stalls", service.exchanges::clientChecks)
+                .gauge("accept_gate_changes", service.server::acceptGateChanges)
                 .gauge("heap_used_bytes", OperatorsDesk::heapUsed);
         service.exchanges.tally(figures);
         this.line = new OperatorsLine(loop, sockets, config.admin(), new Answers(service.server::ready,
--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -4,6 +4,7 @@
 import appleridge.decision.SymmetricRoundRobin;
 import appleridge.transport.HeldListener;
 import appleridge.transport.Loop;
+import appleridge.transport.NioEventLoopFactory;
 import appleridge.transport.NioSockets;
 import appleridge.transport.Sockets;
 import appleridge.transport.SystemLog;
@@ -12,7 +13,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -29,7 +29,8 @@
     /** Longer than any client waits; what is still open then has no one to answer to. */
     private static final long LONGEST_DRAIN_SECONDS = 10;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final NioEventLoopFactory eventLoops = new NioEventLoopFactory();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, eventLoops);
     /** Made on the loop and used there alone; null before. */
     private Node node;
     /** Used on the loop alone: the end was asked for, and nothing begins any more. */
@@ -187,8 +188,9 @@
         return node.listening();
     }
 
-    private static Loop loop(EventLoop executor, System.Logger.Level level) {
-        return new Loop(executor, SystemTime.UNIX_MILLIS, new SystemLog(executor.ticker()::nanoTime, level));
+    private Loop loop(EventLoop executor, System.Logger.Level level) {
+        return new Loop(executor, SystemTime.UNIX_MILLIS, new SystemLog(executor.ticker()::nanoTime, level),
+                eventLoops);
     }
 
     /** Goes over to another discovery; requests go on untouched. */
--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -49,6 +49,7 @@
     private final long stoodStill;
     private final Upstreams upstreams;
     private final Log log;
+    private final RequestLog requestLog;
     private final Balancer balancer;
     private final Map<Long, Call> calls = new HashMap<>();
     /** The clients' own ids of the requests that are open. */
@@ -78,6 +79,10 @@
     private long crowdedUntil;
     private long endsAt = Long.MAX_VALUE;
     private Tally tally = Tally.NONE;
+    /** Events from outside that have been handled. */
+    private long events;
+    /** Times that the clients of all open requests were looked at after a stall. */
+    private long clientChecks;
 
     /**
      * Makes the module that it hosts.
@@ -94,6 +99,7 @@
         this.stoodStill = Math.min(STOOD_STILL, Math.max(LATE, settings.limits().drainGrace() / 2));
         this.upstreams = upstreams;
         this.log = log;
+        this.requestLog = new RequestLog(time, log);
         this.beat = time.now();
         this.stoodStillUntil = beat - AFTERMATH;
         this.lateUntil = beat - AFTERMATH;
@@ -203,6 +209,16 @@
         return tally;
     }
 
+    /** Events from outside that have been handled since the start. */
+    public long events() {
+        return events;
+    }
+
+    /** Times since the start that the clients of all open requests were looked at after a stall. */
+    public long clientChecks() {
+        return clientChecks;
+    }
+
     /** What is open. */
     public Books books() {
         return new Books(open, out, calls.size(), names.size());
@@ -224,11 +240,13 @@
      * as it knows them.
      */
     private void heed() {
+        events++;
         long now = time.now();
         boolean late = now - beat > LATE;
         boolean stood = now - beat > stoodStill;
         if (stood) {
             if (now - beat > settings.limits().drainGrace() && unheard == null) {
+                requestLog.deferred(true, open, now - beat);
                 awaitList();
             }
             stoodStillUntil = now;
@@ -270,6 +288,7 @@
      * makes room or a connection that comes up, may be read ahead of their end.
      */
     private void lookAfterClients() {
+        clientChecks++;
         for (Call call : List.copyOf(calls.values())) {
             if (!call.over) {
                 call.client.look();
@@ -339,6 +358,7 @@
         if (unheard != null) {
             List<Runnable> late = unheard;
             unheard = null;
+            requestLog.deferred(false, late.size(), 0);
             listAwaited.cancel();
             late.forEach(Runnable::run);
         }
@@ -547,6 +567,7 @@
             return;
         }
         attempt.end(outcome);
+        requestLog.ended(attempt, outcome);
         Call call = attempt.call;
         call.last = outcome;
         if (call.answering == attempt && !call.over) {
@@ -599,6 +620,7 @@
     /** The request is over: nothing more is sent for it. */
     private void end(Call call, Tally.End how) {
         call.over = true;
+        requestLog.ended(call, how);
         tally.ended(call.request.requestClass(), how);
         names.remove(call.request.name());
         call.backstop.cancel();
--- /dev/null
+++ b/sidecar/src/main/java/appleridge/exchange/LogEvent.java
@@ -0,0 +1,32 @@
+package appleridge.exchange;
+
+/** What is logged with a stable name and keyed fields; each kind has a limit of its own on how often. */
+public enum LogEvent {
+    /** The event loop came to its periodic work late: nothing was read or sent meanwhile. */
+    EVENT_LOOP_STALL("event_loop.stall"),
+    /** The event loop turned many times with nothing to do in most of its turns. */
+    EVENT_LOOP_SPIN("event_loop.spin"),
+    /** A request ended in another way than by an upstream's good answer. */
+    REQUEST_ENDED("request.ended"),
+    /** An attempt ended without a usable answer. */
+    ATTEMPT_ENDED("attempt.ended"),
+    /** Requests are deferred until discovery has caught up, or resumed. */
+    REQUESTS_DEFERRED("requests.deferred"),
+    /** A client's connection was closed from this side before the client had left. */
+    CLIENT_CONNECTION_CLOSED("client_connection.closed"),
+    /** New connections are accepted again, or left waiting in the system. */
+    ACCEPT_GATE("accept_gate.changed"),
+    /** The service goes through a step of its end. */
+    DRAIN("drain.step");
+
+    private final String label;
+
+    LogEvent(String label) {
+        this.label = label;
+    }
+
+    /** The name in the log. */
+    public String label() {
+        return label;
+    }
+}
--- a/sidecar/src/main/java/appleridge/http1/Backlog.java
+++ b/sidecar/src/main/java/appleridge/http1/Backlog.java
@@ -1,5 +1,6 @@
 package appleridge.http1;
 
+import appleridge.exchange.LogEvent;
 import appleridge.transport.Loop;
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
@@ -33,6 +34,8 @@
     private boolean stopped;
     private boolean waits;
     private long accepted;
+    private boolean accepting;
+    private long changes;
     private long roomAt;
 
     /** With the most connections that are held, and what says whether there is room for another. */
@@ -66,7 +69,19 @@
 
     /** Accepts if there is reason to, and else lets wait. */
     void accept() {
-        listener.config().setAutoRead(!stopped && !waits && (looking ? tells > 0 : room.getAsBoolean()));
+        boolean accepts = !stopped && !waits && (looking ? tells > 0 : room.getAsBoolean());
+        if (accepts != accepting) {
+            accepting = accepts;
+            changes++;
+            loop.log().event(LogEvent.ACCEPT_GATE, () -> "accepts=" + accepts + " stopped=" + stopped
+                    + " waits=" + waits + " looking=" + looking + " accepted=" + accepted);
+        }
+        listener.config().setAutoRead(accepts);
+    }
+
+    /** Times that accepting was paused or resumed. */
+    long changes() {
+        return changes;
     }
 
     /** Whether nothing is accepted for now, for another process does. */
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -332,6 +332,7 @@
         if (!turnedAway) {
             server.exchanges().tally().malformed();
         }
+        server.logClosed("rejected status=" + status.code());
         deafen();
         head = null;
         Exchange exchange = new Exchange(false, false);
@@ -468,6 +469,7 @@
 
     /** Ends it where the client doesn't read. */
     void cutOff() {
+        server.logClosed("not_read");
         deafen();
         output.cutOff();
     }
@@ -544,6 +546,7 @@
             return;
         }
         if (channel.isActive() && !deaf && input.begun()) {
+            server.logClosed("service_ends_in_request");
             turnAway("the service ends");
         } else if (channel.isActive() && output.waits()) {
             endWhenTaken();
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -2,9 +2,11 @@
 
 import appleridge.exchange.Exchanges;
 import appleridge.exchange.Log;
+import appleridge.exchange.LogEvent;
 import appleridge.exchange.Timers;
 import appleridge.transport.AcceptFailures;
 import appleridge.transport.HeldListener;
+import appleridge.transport.EventLoopMonitor;
 import appleridge.transport.Loop;
 import appleridge.transport.Sockets;
 import io.netty.bootstrap.ServerBootstrap;
@@ -60,6 +62,7 @@
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Timers.Timer sweeper;
     private final Backlog backlog;
+    private final EventLoopMonitor monitor;
     /** Of those, what it may hold now. */
     private int most;
     private Channel listener;
@@ -83,6 +86,7 @@
         this.reader = reader;
         this.maxConnections = maxConnections;
         this.most = maxConnections;
+        this.monitor = new EventLoopMonitor(loop, millis(SWEEP_MILLIS), exchanges::events);
         this.backlog = new Backlog(loop, maxConnections, this::hasRoom);
         this.sweeper = loop.every(millis(SWEEP_MILLIS), this::sweep);
     }
@@ -301,12 +305,14 @@
             }
         }
         if (spared != null && spared.spared()) {
+            logClosed("evicted");
             connections.remove(spared);
         }
         return spared != null;
     }
 
     private void sweep() {
+        monitor.tick();
         exchanges.beat();
         long now = loop.now();
         for (ClientConnection each : List.copyOf(connections)) {
@@ -331,6 +337,7 @@
         long end = Math.max(STILL_ACCEPTS_MILLIS + LAST_REQUEST_MILLIS,
                 longest + GRACE_MILLIS - RESERVE_MILLIS);
         exchanges.endBy(loop.now() + millis(end));
+        logDrain("begun end_ms=" + end);
         if (held) {
             backlog.stop();
             lastCall = true;
@@ -340,8 +347,10 @@
             drainAlone(end);
         }
         // Danger: the end would wait for a request that never ends.
-        loop.after(millis(end),
-                () -> List.copyOf(connections).forEach(ClientConnection::closeIfNothingIsOpen));
+        loop.after(millis(end), () -> {
+            logDrain("ended");
+            List.copyOf(connections).forEach(ClientConnection::closeIfNothingIsOpen);
+        });
         endWhenDrained();
     }
 
@@ -355,12 +364,34 @@
     private void drainAlone(long end) {
         loop.after(millis(STILL_ACCEPTS_MILLIS), () -> backlog.end(this::endWhenDrained));
         loop.after(millis(end - LAST_REQUEST_MILLIS), () -> {
+            logDrain("last_call");
             lastCall = true;
             List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
             endWhenDrained();
         });
     }
 
+    /** A client's connection is closed from this side, and why. */
+    void logClosed(String reason) {
+        loop.log().event(LogEvent.CLIENT_CONNECTION_CLOSED, () -> "reason=" + reason + " connections="
+                + connections.size() + " most=" + most);
+    }
+
+    private void logDrain(String step) {
+        loop.log().event(LogEvent.DRAIN, () -> "step=" + step + " connections=" + connections.size() + " open="
+                + exchanges.books().open());
+    }
+
+    /** What is known of stalls and spins of the event loop. */
+    public EventLoopMonitor monitor() {
+        return monitor;
+    }
+
+    /** Times since the start that accepting was paused or resumed. */
+    public long acceptGateChanges() {
+        return backlog.changes();
+    }
+
     /** Connections of clients that are open. */
     public int connections() {
         return connections.size();
--- a/sidecar/src/main/java/appleridge/transport/Loop.java
+++ b/sidecar/src/main/java/appleridge/transport/Loop.java
@@ -16,9 +16,16 @@
     private final EventLoop executor;
     private final Clock clock;
     private final Log log;
+    private final LongSupplier turns;
 
     /** With the wall clock's Unix time in milliseconds. */
     public Loop(EventLoop executor, LongSupplier unixMillis, Log log) {
+        this(executor, unixMillis, log, () -> 0);
+    }
+
+    /** The same; with what counts the turns of the event loop, each of which looks for events once. */
+    public Loop(EventLoop executor, LongSupplier unixMillis, Log log, LongSupplier turns) {
+        this.turns = turns;
         this.executor = executor;
         this.clock = new Clock(executor.ticker(), unixMillis);
         this.log = log;
@@ -34,6 +41,11 @@
         return log;
     }
 
+    /** Turns of the event loop since its start; always 0 where nothing counts them. */
+    public long turns() {
+        return turns.getAsLong();
+    }
+
     @Override
     public long now() {
         return clock.now();
--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -1,8 +1,12 @@
 package appleridge.transport;
 
 import appleridge.exchange.Log;
+import appleridge.exchange.LogEvent;
 import appleridge.exchange.Time;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * The process's log. Warnings and failures, the latter with their causes, are logged one a second at most.
@@ -17,6 +21,7 @@
     private final System.Logger.Level level;
     private final Sieve warnings;
     private final Sieve failures;
+    private final Map<LogEvent, Sieve> events = new EnumMap<>(LogEvent.class);
 
     /** With the level of the ordinary lines. */
     public SystemLog(Time time, System.Logger.Level level) {
@@ -33,12 +38,19 @@
 
     @Override
     public void warning(String line) {
-        warnings.log(System.Logger.Level.WARNING, line, null);
+        warnings.log(System.Logger.Level.WARNING, () -> line, null);
+    }
+
+    /** Danger: one limit over all kinds would let a frequent kind hide a rare one. */
+    @Override
+    public void event(LogEvent kind, Supplier<String> fields) {
+        events.computeIfAbsent(kind, each -> new Sieve())
+                .log(level, () -> kind.label() + " " + fields.get(), null);
     }
 
     @Override
     public void failure(String what, Throwable cause) {
-        failures.log(System.Logger.Level.ERROR, what, cause);
+        failures.log(System.Logger.Level.ERROR, () -> what, cause);
     }
 
     /** Logs, or counts what comes less than a second after a line that it has logged. */
@@ -46,13 +58,14 @@
         private long last = time.now() - APART;
         private int untold;
 
-        void log(System.Logger.Level how, String what, Throwable cause) {
+        void log(System.Logger.Level how, Supplier<String> what, Throwable cause) {
             long now = time.now();
             if (now - last < APART) {
                 untold++;
                 return;
             }
-            LOG.log(how, untold == 0 ? what : what + "; untold before it: " + untold, cause);
+            String line = what.get();
+            LOG.log(how, untold == 0 ? line : line + "; untold before it: " + untold, cause);
             last = now;
             untold = 0;
         }
