--- a/sidecar/src/main/java/appleridge/exchange/Log.java
+++ b/sidecar/src/main/java/appleridge/exchange/Log.java
@@ -11,8 +11,8 @@
     void warning(String line);
 
     /**
-     * An event with its fields in the form {@code key=value}. Of one kind only some a second are written, with
-     * a count of those left out, and the fields are asked for only then.
+     * An event with its fields in the form {@code key=value}. Of one kind only some a second are written,
+     * with a count of those left out, and the fields are asked for only then.
      */
     default void event(LogEvent kind, Supplier<String> fields) { }
 
--- a/sidecar/src/main/java/appleridge/exchange/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/exchange/RequestLog.java
@@ -18,8 +18,9 @@
         long now = time.now();
         boolean late = now > call.request.arrived() + call.request.patience();
         if (how != Tally.End.SERVED || late) {
-            log.event(LogEvent.REQUEST_ENDED, () -> "id=" + call.request.name() + " how=" + how + " late=" + late
-                    + " class=" + call.request.requestClass() + " age_ms=" + millis(now - call.request.arrived())
+            log.event(LogEvent.REQUEST_ENDED, () -> "id=" + call.request.name() + " how=" + how
+                    + " late=" + late + " class=" + call.request.requestClass()
+                    + " age_ms=" + millis(now - call.request.arrived())
                     + " waits_ms=" + millis(call.request.patience()) + " attempts=" + call.attempts.size()
                     + " out=" + call.out + " last=" + call.last);
         }
@@ -38,8 +39,8 @@
 
     /** Requests are deferred from now on, or the deferred ones are resumed. */
     void deferred(boolean begins, int waiting, long stall) {
-        log.event(LogEvent.REQUESTS_DEFERRED, () -> "state=" + (begins ? "deferred" : "resumed") + " requests="
-                + waiting + " stall_ms=" + millis(stall));
+        log.event(LogEvent.REQUESTS_DEFERRED, () -> "state=" + (begins ? "deferred" : "resumed")
+                + " requests=" + waiting + " stall_ms=" + millis(stall));
     }
 
     private static long millis(long nanos) {
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -378,8 +378,8 @@
     }
 
     private void logDrain(String step) {
-        loop.log().event(LogEvent.DRAIN, () -> "step=" + step + " connections=" + connections.size() + " open="
-                + exchanges.books().open());
+        loop.log().event(LogEvent.DRAIN, () -> "step=" + step + " connections=" + connections.size()
+                + " open=" + exchanges.books().open());
     }
 
     /** What is known of stalls and spins of the event loop. */
--- a/sidecar/src/main/java/appleridge/transport/EventLoopMonitor.java
+++ b/sidecar/src/main/java/appleridge/transport/EventLoopMonitor.java
@@ -27,8 +27,8 @@
     private long longestLag;
 
     /**
-     * With the nanoseconds from one {@link #tick} to the next, and the number of events that have been handled
-     * since the start.
+     * With the nanoseconds from one {@link #tick} to the next, and the number of events that have been
+     * handled since the start.
      */
     public EventLoopMonitor(Loop loop, long period, LongSupplier events) {
         this.loop = loop;
--- a/sidecar/src/main/java/appleridge/transport/Loop.java
+++ b/sidecar/src/main/java/appleridge/transport/Loop.java
@@ -13,6 +13,9 @@
  * loop's ticker's, so that a loop on another ticker lives in another time.
  */
 public final class Loop implements Time, Timers {
+    /** Nanoseconds between two runs of periodic work, at the least. */
+    private static final long SHORTEST_PERIOD = TimeUnit.MILLISECONDS.toNanos(1);
+
     private final EventLoop executor;
     private final Clock clock;
     private final Log log;
@@ -66,9 +69,13 @@
         return timer(executor.schedule(guarded(what), nanos, TimeUnit.NANOSECONDS));
     }
 
-    /** Runs something over and over, so many nanoseconds after the last time. */
+    /**
+     * Runs something over and over, so many nanoseconds after the last time; a millisecond at the least.
+     * Shorter periods, as they come out of settings with short times, would leave the loop no moment to wait.
+     */
     public Timer every(long nanos, Runnable what) {
-        return timer(executor.scheduleWithFixedDelay(guarded(what), nanos, nanos, TimeUnit.NANOSECONDS));
+        long period = Math.max(SHORTEST_PERIOD, nanos);
+        return timer(executor.scheduleWithFixedDelay(guarded(what), period, period, TimeUnit.NANOSECONDS));
     }
 
     @Override
--- a/sidecar/src/test/java/appleridge/daemon/DelayingProxy.java
+++ b/sidecar/src/test/java/appleridge/daemon/DelayingProxy.java
@@ -13,8 +13,8 @@
 import java.util.concurrent.locks.LockSupport;
 
 /**
- * A fault proxy on loopback: passes bytes both ways, and holds each piece of what comes back for a drawn time,
- * of which the seed decides.
+ * A fault proxy on loopback: passes bytes both ways, and holds each piece of what comes back for a time drawn
+ * by its seed.
  */
 final class DelayingProxy implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
--- a/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
+++ b/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
@@ -49,8 +49,8 @@
     }
 
     /**
-     * Guards against the same where the process's clock moves in steps, as under a virtual machine's or a
-     * bench's clock: polled for, a timer costs a whole step of the core's time.
+     * Guards against the same where the loop's ticker moves in steps: waits that go by another clock than the
+     * timers are over before a timer's time has come, and a timer costs a whole step of the core's time.
      */
     @Test
     void aClockThatMovesInStepsIsAwaitedWithoutTurning() throws Exception {
