--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -620,7 +620,7 @@
     /** The request is over: nothing more is sent for it. */
     private void end(Call call, Tally.End how) {
         call.over = true;
-        requestLog.ended(call, how);
+        requestLog.ended(call, how, beat);
         tally.ended(call.request.requestClass(), how);
         names.remove(call.request.name());
         call.backstop.cancel();
--- a/sidecar/src/main/java/appleridge/exchange/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/exchange/RequestLog.java
@@ -13,9 +13,12 @@
         this.log = log;
     }
 
-    /** A request has ended in another way than by an upstream's good answer, or after its time. */
-    void ended(Call call, Tally.End how) {
-        long now = time.now();
+    /**
+     * A request has ended in another way than by an upstream's good answer, or after its time.
+     *
+     * @param now as of the event that ended it
+     */
+    void ended(Call call, Tally.End how, long now) {
         boolean late = now > call.request.arrived() + call.request.patience();
         if (how != Tally.End.SERVED || late) {
             log.event(LogEvent.REQUEST_ENDED, () -> "id=" + call.request.name() + " how=" + how
--- a/sidecar/src/main/java/appleridge/transport/EventLoopMonitor.java
+++ b/sidecar/src/main/java/appleridge/transport/EventLoopMonitor.java
@@ -19,6 +19,7 @@
     private final Loop loop;
     private final long period;
     private final LongSupplier events;
+    private boolean begun;
     private long lastTick;
     private long lastTurns;
     private long lastEvents;
@@ -34,15 +35,16 @@
         this.loop = loop;
         this.period = period;
         this.events = events;
-        this.lastTick = loop.now();
     }
 
-    /** To be called by the loop's periodic work. */
-    public void tick() {
-        long now = loop.now();
+    /** To be called by the loop's periodic work, with the time as of then. */
+    public void tick(long now) {
         long turns = loop.turns();
         long handled = events.getAsLong();
-        look(now - lastTick - period, turns - lastTurns, handled - lastEvents);
+        if (begun) {
+            look(now - lastTick - period, turns - lastTurns, handled - lastEvents);
+        }
+        begun = true;
         lastTick = now;
         lastTurns = turns;
         lastEvents = handled;
