Answers with neither a length nor chunks are served where their connection ends in order

Change: the upstream's orderly end is the answer's end (RFC 9112, 6.3); a reset, a pause, and every end of our own (stall, deadline, cancel, idle, failed write) breaks the connection off first, so that none of these can be taken for it.

--- a/rig/src/main/java/appleridge/rig/world/Answers.java
+++ b/rig/src/main/java/appleridge/rig/world/Answers.java
@@ -9,6 +9,8 @@
     private static final String HINTS = "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n";
     private static final String NOISE = "\u0000\u0001\u00fe noise \r\n\r\n\u0016\u0003\u0001";
     private static final long GIGABYTES = 3L << 30;
+    /** Nanoseconds from a body to the reset behind it. */
+    private static final long RESET_AFTER = 5 * Site.MS;
 
     private final Chance chance;
     private int failures;
@@ -85,7 +87,9 @@
                     + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n");
             case BAD_CHUNKS -> Script.of(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + body
                     + "\r\n0\r\n\r\n");
-            case NO_LENGTH -> Script.of(head + "\r\n" + body);
+            // An orderly end would be the answer's; a reset is none.
+            case NO_LENGTH -> Script.of(head + "\r\n" + body).then(RESET_AFTER, "")
+                    .ending(Script.End.RESET);
             case THREE_GIGABYTES -> Script.of(head + "Content-Length: " + GIGABYTES + "\r\n\r\n")
                     .repeat(MANY, Site.MS, "3".repeat(8192));
             case CUT_HEAD -> Script.of(head.substring(0, 10 + chance.nextInt(20))).ending(Script.End.CLOSE);
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -50,7 +50,11 @@
     private Outcome result;
     private HttpReply reply;
     private long idleSince;
-    /** What it carries can't be read on from: nothing that has been read with it, or comes yet, counts. */
+    /**
+     * What it carries can't be read on from: nothing that has been read with it, or comes yet, counts. Set
+     * ahead of each end of the connection but the upstream's orderly one, which alone may end an answer that
+     * has neither a length nor chunks.
+     */
     private boolean broken;
     /** The answer, where it is too long to be held; null else. */
     private HttpFlow flow;
@@ -108,7 +112,7 @@
     }
 
     void close() {
-        channel.close();
+        breakOff();
     }
 
     /** Nothing is open on it: it is offered to the next request. */
@@ -150,7 +154,7 @@
             } else {
                 // Kept back, it is known not to have run; else what the connection's end says holds.
                 result = done.cause() instanceof LastByte.LateException ? Outcome.NEVER_SENT : result;
-                channel.close();
+                breakOff();
             }
         });
     }
@@ -172,7 +176,7 @@
             unread = null;
         }
         if (upload != null && !channel.isWritable()) {
-            unread = pool.loop().after(LONGEST_UNREAD, channel::close);
+            unread = pool.loop().after(LONGEST_UNREAD, this::breakOff);
         }
     }
 
@@ -263,12 +267,13 @@
         channel.close();
     }
 
-    /** An answer that only the connection's end delimits can't be known to be whole. */
+    /**
+     * One length, chunks, or neither: then the upstream's orderly end of the connection is the answer's (RFC
+     * 9112, 6.3), and whatever else ends the connection breaks it off.
+     */
     private static boolean canBeServed(HttpResponse response) {
-        boolean delimited = HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response);
         long most = response.status().code() == 200 ? Framing.MOST_FLOWING : Framing.MAX_BODY;
-        return delimited && Framing.isPlain(response) && HttpUtil.getContentLength(response, 0L) <= most;
+        return Framing.isPlain(response) && HttpUtil.getContentLength(response, 0L) <= most;
     }
 
     /** Danger: an answer cut short on an open connection would be waited for until the deadline. */
@@ -278,7 +283,7 @@
             stalled = null;
         }
         if (exchange != null && input.begun() && !paused) {
-            stalled = pool.loop().after(flow == null ? stall : LONGEST_PAUSE, channel::close);
+            stalled = pool.loop().after(flow == null ? stall : LONGEST_PAUSE, this::breakOff);
         }
     }
 
@@ -358,7 +363,7 @@
         if (!(cause instanceof IOException)) {
             pool.log().failure("a connection to " + endpoint + " failed", cause);
         }
-        channel.close();
+        breakOff();
     }
 
     /** Writes requests as they came. */
--- a/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamExchange.java
@@ -124,7 +124,8 @@
         if (!over) {
             over = true;
             if (channel != null) {
-                channel.close();
+                // Danger: an end that looks like the upstream's would make a whole answer of a part.
+                channel.pipeline().get(UpstreamConnection.class).close();
             } else if (connecting != null) {
                 connecting.close();
             }
