What a sidecar does in its last seconds is logged, and 300 ms are kept back ahead of SIGKILL

And of the time up to SIGKILL 200 ms were kept back, while a hold-up of 150 ms between reading the clock and writing has to be allowed for and SIGTERM comes to the loop some tens of milliseconds late. Change: from SIGTERM on lines go straight to the standard error; RESERVE_MILLIS 300.

--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -224,6 +224,7 @@
             return;
         }
         LOG.log(System.Logger.Level.INFO, "draining");
+        SystemLog.writeDirectly();
         CountDownLatch drained = new CountDownLatch(1);
         drain(drained::countDown);
         try {
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -30,8 +30,11 @@
     private static final long GRACE_MILLIS = 700;
     /** But of a deadline no more than this is waited for. */
     private static final long LONGEST_WAITED_MILLIS = 3000;
-    /** Of that, for the machine to stand still: what SIGKILL finds unanswered is lost. */
-    private static final long RESERVE_MILLIS = 200;
+    /**
+     * Of that, what is kept back: what SIGKILL finds unanswered is lost. A process may be held up for 150 ms
+     * between reading its clock and writing, and hears of SIGTERM some tens of milliseconds late.
+     */
+    private static final long RESERVE_MILLIS = 300;
     /** At the end of the service, for the last requests and their answers. */
     private static final long LAST_REQUEST_MILLIS = 300;
     /**
@@ -312,9 +315,9 @@
     }
 
     private void sweep() {
-        monitor.tick();
         exchanges.beat();
         long now = loop.now();
+        monitor.tick(now);
         for (ClientConnection each : List.copyOf(connections)) {
             each.expire(now, times);
         }
--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -16,6 +16,8 @@
 public final class SystemLog implements Log {
     private static final System.Logger LOG = System.getLogger("appleridge");
     private static final long APART = TimeUnit.SECONDS.toNanos(1);
+    /** The logging system has ended or is about to: lines go to the standard error as they are. */
+    private static volatile boolean direct;
 
     private final Time time;
     private final System.Logger.Level level;
@@ -31,9 +33,27 @@
         this.failures = new Sieve();
     }
 
+    /**
+     * To be called when the process begins to end. Danger: the logging system ends by a shutdown hook of its
+     * own, beside the service's, and what the service does in its last seconds would be written nowhere.
+     */
+    public static void writeDirectly() {
+        direct = true;
+    }
+
+    private static void write(System.Logger.Level how, String line, Throwable cause) {
+        if (!direct) {
+            LOG.log(how, line, cause);
+        } else if (LOG.isLoggable(how)) {
+            String why = cause == null ? "" : " (" + cause + ")";
+            System.err.println(String.format("%tT %s %s%s", SystemTime.UNIX_MILLIS.getAsLong(), how.getName(),
+                    line, why));
+        }
+    }
+
     @Override
     public void news(String line) {
-        LOG.log(level, line);
+        write(level, line, null);
     }
 
     @Override
@@ -65,7 +85,7 @@
                 return;
             }
             String line = what.get();
-            LOG.log(how, untold == 0 ? line : line + "; untold before it: " + untold, cause);
+            write(how, untold == 0 ? line : line + "; untold before it: " + untold, cause);
             last = now;
             untold = 0;
         }
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -177,6 +177,8 @@
                 assertNull(client.read());
                 assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
+                String told = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+                assertTrue(told.contains("drain.step step=begun"), told);
             } finally {
                 process.destroyForcibly();
             }
