--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -223,8 +223,7 @@
             // Danger: to halt here would hide the status of a start that failed.
             return;
         }
-        LOG.log(System.Logger.Level.INFO, "draining");
-        SystemLog.writeDirectly();
+        SystemLog.end("draining");
         CountDownLatch drained = new CountDownLatch(1);
         drain(drained::countDown);
         try {
--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -34,11 +34,13 @@
     }
 
     /**
-     * To be called when the process begins to end. Danger: the logging system ends by a shutdown hook of its
-     * own, beside the service's, and what the service does in its last seconds would be written nowhere.
+     * To be called when the process begins to end, with the line that says so. Danger: the logging system has a
+     * shutdown hook of its own that runs beside the service's, and what the service does from then on, this
+     * line included, would be written nowhere.
      */
-    public static void writeDirectly() {
+    public static void end(String line) {
         direct = true;
+        write(System.Logger.Level.INFO, line, null);
     }
 
     private static void write(System.Logger.Level how, String line, Throwable cause) {
--- a/sidecar/src/test/java/appleridge/daemon/ServeIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/ServeIT.java
@@ -164,7 +164,8 @@
                 })) {
             String json = LoopbackNode.json(LoopbackNode.Figures.USUAL, discovery.address(),
                     LoopbackNode.targets(upstream)).replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"");
-            Process process = serve(json);
+            Path log = folder.resolve("log");
+            Process process = serve(json, log);
             try (TestClient client = connect(process, port)) {
                 while (TestClient.status(client.ask("GET /health/ready HTTP/1.1\r\n\r\n")) != 200) {
                     assertTrue(process.isAlive());
@@ -177,7 +178,7 @@
                 assertNull(client.read());
                 assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
                 assertEquals(0, process.exitValue());
-                String told = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+                String told = Files.readString(log);
                 assertTrue(told.contains("drain.step step=begun"), told);
             } finally {
                 process.destroyForcibly();
