--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -34,8 +34,8 @@
     }
 
     /**
-     * To be called when the process begins to end, with the line that says so. Danger: the logging system has a
-     * shutdown hook of its own that runs beside the service's, and what the service does from then on, this
+     * To be called when the process begins to end, with the line that says so. Danger: the logging system has
+     * a shutdown hook of its own that runs beside the service's, and what the service does from then on, this
      * line included, would be written nowhere.
      */
     public static void end(String line) {
