--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -223,9 +223,11 @@
             // Danger: to halt here would hide the status of a start that failed.
             return;
         }
-        SystemLog.end("draining");
+        SystemLog.writeDirectly();
         CountDownLatch drained = new CountDownLatch(1);
         drain(drained::countDown);
+        // Behind that on the loop: who reads this line may count on the end having begun.
+        group.execute(() -> SystemLog.info("draining"));
         try {
             drained.await(LONGEST_DRAIN_SECONDS, TimeUnit.SECONDS);
         } catch (InterruptedException e) {
--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -34,12 +34,15 @@
     }
 
     /**
-     * To be called when the process begins to end, with the line that says so. Danger: the logging system has
-     * a shutdown hook of its own that runs beside the service's, and what the service does from then on, this
-     * line included, would be written nowhere.
+     * To be called when the process begins to end. Danger: the logging system has a shutdown hook of its own
+     * that runs beside the service's, and what the service does from then on would be written nowhere.
      */
-    public static void end(String line) {
+    public static void writeDirectly() {
         direct = true;
+    }
+
+    /** A line of the process as a whole. */
+    public static void info(String line) {
         write(System.Logger.Level.INFO, line, null);
     }
 
