--- /dev/null
+++ b/sidecar/src/test/java/appleridge/daemon/SidecarProcess.java
@@ -0,0 +1,124 @@
+package appleridge.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The packaged jar as a process of its own, with a port for clients, one for operators, and a log file. */
+final class SidecarProcess implements AutoCloseable {
+    private final Process process;
+    private final int port;
+    private final int admin;
+    private final Path log;
+
+    private SidecarProcess(Process process, int port, int admin, Path log) {
+        this.process = process;
+        this.port = port;
+        this.admin = admin;
+        this.log = log;
+    }
+
+    /**
+     * Starts it and waits until it is ready.
+     *
+     * @param folder for its configuration and its log
+     * @param json the configuration as {@link LoopbackNode#json} writes it
+     * @param environment further variables
+     */
+    static SidecarProcess start(Path folder, String json, Map<String, String> environment)
+            throws IOException {
+        int port = unusedPort();
+        int admin = unusedPort();
+        Path config = Files.createTempFile(folder, "config", ".json");
+        Path log = Files.createTempFile(folder, "sidecar", ".log");
+        Files.writeString(config, json.replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\""));
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-Xmx48m", "-jar", "target/appleridge.jar", "serve");
+        builder.environment().putAll(environment);
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("BALANCER_ADMIN", "127.0.0.1:" + admin);
+        Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
+        SidecarProcess sidecar = new SidecarProcess(process, port, admin, log);
+        sidecar.awaitReady();
+        return sidecar;
+    }
+
+    private static int unusedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private void awaitReady() throws IOException {
+        while (true) {
+            try (TestClient client = new TestClient(address())) {
+                String answer = client.ask("GET /health/ready HTTP/1.1\r\n\r\n");
+                if (answer != null && TestClient.status(answer) == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                assertTrue(process.isAlive(), "the sidecar ended before it listened");
+            }
+        }
+    }
+
+    /** Where clients connect. */
+    InetSocketAddress address() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+    }
+
+    /** One of the figures that operators can ask for, by its name without the common prefix. */
+    long figure(String name) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), admin)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LoopbackNode.PATIENCE_SECONDS));
+            StubUpstream.write(socket, "METRICS\n");
+            String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            return text.lines().filter(line -> line.startsWith("appleridge_" + name + " ")).findFirst()
+                    .map(line -> Long.parseLong(line.substring(line.lastIndexOf(' ') + 1))).orElseThrow();
+        }
+    }
+
+    /** What it has logged so far. */
+    String log() throws IOException {
+        return Files.readString(log);
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Sends a signal by its name, such as {@code STOP}. */
+    void signal(String name) throws IOException, InterruptedException {
+        Process kill = new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
+        assertEquals(0, kill.waitFor());
+    }
+
+    /** Stops it as a machine does that gives its core to others, and lets it go on. */
+    void holdUp(long millis) throws IOException, InterruptedException {
+        signal("STOP");
+        Thread.sleep(millis);
+        signal("CONT");
+    }
+
+    /** Waits for its end; the exit status. */
+    int awaitExit() throws InterruptedException {
+        assertTrue(process.waitFor(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS), "it has to end");
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
