Interrupted calls end no connection, and local failures of a connect eject no upstream

Cause: the JVM gives an interrupted read (EINTR) to its caller as -3, which Netty takes for the end of the stream: the client's connection was closed with no answer, the upstream's attempt ended as a reset. An interrupted look at a connect counted as a failed connect. And a connect that this machine has no means for (EADDRNOTAVAIL, ENOBUFS, no room in epoll) was told as a failed connect of the upstream, which ejects it. Class: a local failure taken for the peer's. Change: UninterruptedSocketChannel and ListeningChannel, which accepts such; Connector tells what is local as noSocket, by the JVM's types and, for ENETUNREACH alone, by its text; that one stays the upstream's, for a request would meet it again and again.

--- a/sidecar/src/main/java/appleridge/transport/Connector.java
+++ b/sidecar/src/main/java/appleridge/transport/Connector.java
@@ -5,7 +5,11 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -20,8 +24,8 @@
         void failed(Throwable cause);
 
         /**
-         * There is no socket to be had here, as when descriptors are out: nothing is known of the other
-         * side.
+         * This machine has no means for it, such as a descriptor, a local port or a buffer: nothing is known
+         * of the other side.
          */
         void noSocket(Throwable cause);
     }
@@ -32,6 +36,9 @@
         void close();
     }
 
+    /** Of what the system says of a network to which there is no way (ENETUNREACH). */
+    private static final String UNREACHABLE = "unreachable";
+
     private final Loop loop;
     private final Sockets sockets;
     private final int timeoutMillis;
@@ -69,7 +76,8 @@
             if (registered.isSuccess()) {
                 told(channel.connect(address), channel, listener);
             } else {
-                failed(channel, listener, registered.cause());
+                channel.close();
+                loop.soon(() -> listener.noSocket(registered.cause()));
             }
         });
         return channel::close;
@@ -92,7 +100,24 @@
 
     private void failed(Channel channel, Listener listener, Throwable cause) {
         channel.close();
-        loop.soon(() -> listener.failed(cause));
+        loop.soon(() -> {
+            if (isLocal(cause)) {
+                listener.noSocket(cause);
+            } else {
+                listener.failed(cause);
+            }
+        });
+    }
+
+    /**
+     * Whether a connect failed for want of something on this machine (EADDRNOTAVAIL, ENOBUFS, EAGAIN). The
+     * JVM has types of its own for what the other side causes, refusal, silence and no route to the host,
+     * and none for a network that can't be reached, which is told by its text alone.
+     */
+    static boolean isLocal(Throwable cause) {
+        return cause instanceof SocketException && !(cause instanceof ConnectException)
+                && !(cause instanceof NoRouteToHostException)
+                && !String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT).contains(UNREACHABLE);
     }
 
     @ChannelHandler.Sharable
--- a/sidecar/src/main/java/appleridge/transport/HeldListener.java
+++ b/sidecar/src/main/java/appleridge/transport/HeldListener.java
@@ -3,8 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -62,7 +60,7 @@
 
     /** Begins to accept from it; to be called once, with a bootstrap that lacks nothing but its channel. */
     public ChannelFuture register(ServerBootstrap bootstrap) {
-        ChannelFuture registering = bootstrap.channelFactory(() -> new NioServerSocketChannel(socket))
+        ChannelFuture registering = bootstrap.channelFactory(() -> new ListeningChannel(socket))
                 .register();
         registering.addListener(done -> {
             if (done.isSuccess() && first != null) {
@@ -75,7 +73,7 @@
     }
 
     private void takeFirst(Channel listener) {
-        listener.pipeline().fireChannelRead(new NioSocketChannel(listener, first));
+        listener.pipeline().fireChannelRead(new UninterruptedSocketChannel(listener, first));
         listener.pipeline().fireChannelReadComplete();
         first = null;
     }
