The end of the service is reckoned from SIGTERM and stays ahead of SIGKILL for all deadlines

Cause of the incident's first symptom, beside the stalls: the end came 900 ms after SIGTERM at the least, for new connections and last requests, while SIGKILL may come 700 ms and the longest deadline after it: deadlines of 0.1 and 0.2 s left requests open, of 0.4 s 200 ms. It was counted from when the loop came to it, and 300 ms ahead of SIGKILL were less than two hold-ups of 150 ms, one before SIGTERM is heard and one between reading the clock and writing. Class: a time counted from when a late thread comes to it. Change: DrainSchedule, pure arithmetic by the platform's promises: 400 ms are kept back, at most half of the time there is, and the steps are placed from when the process was told. Connections that are still open close 20 ms after the last answers are due. Each drain.step is logged (the limit of one a second hid the last ones), with told_ago_ms. On the way: closing at the very moment of the last deadline let a client linger beyond SIGKILL's time (ClientServerTest saw it), so it comes 20 ms later.

--- a/sidecar/src/main/java/appleridge/daemon/Node.java
+++ b/sidecar/src/main/java/appleridge/daemon/Node.java
@@ -117,9 +117,14 @@
         source.moveTo(otherDiscovery);
     }
 
-    /** Ends the service in order: see {@link appleridge.http1.ClientServer#drain}. */
+    /** Ends the service in order, from now on: see {@link appleridge.http1.ClientServer#drain}. */
     public void drain(Runnable drained) {
-        service.server.drain(drained);
+        drain(0, drained);
+    }
+
+    /** The same, told so many nanoseconds ago. */
+    void drain(long toldAgo, Runnable drained) {
+        service.server.drain(toldAgo, drained);
         if (handover != null) {
             handover.phase(Phase.ENDING);
         }
--- a/sidecar/src/main/java/appleridge/daemon/Serve.java
+++ b/sidecar/src/main/java/appleridge/daemon/Serve.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.Ticker;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -202,13 +203,16 @@
         return address;
     }
 
+    /** Danger: the time up to SIGKILL runs from when this process is told, not from when its loop hears. */
     void drain(Runnable drained) {
+        Ticker ticker = group.next().ticker();
+        long toldAt = ticker.nanoTime();
         group.execute(() -> {
             ending = true;
             if (node == null) {
                 drained.run();
             } else {
-                node.drain(drained);
+                node.drain(ticker.nanoTime() - toldAt, drained);
             }
         });
     }
--- a/sidecar/src/main/java/appleridge/exchange/LogEvent.java
+++ b/sidecar/src/main/java/appleridge/exchange/LogEvent.java
@@ -17,16 +17,27 @@
     /** New connections are accepted again, or left waiting in the system. */
     ACCEPT_GATE("accept_gate.changed"),
     /** The service goes through a step of its end. */
-    DRAIN("drain.step");
+    DRAIN("drain.step", true);
 
     private final String label;
+    private final boolean always;
 
     LogEvent(String label) {
+        this(label, false);
+    }
+
+    LogEvent(String label, boolean always) {
         this.label = label;
+        this.always = always;
     }
 
     /** The name in the log. */
     public String label() {
         return label;
     }
+
+    /** Whether each one is written: there are a few of them in a process's life, one soon after the other. */
+    public boolean isAlwaysWritten() {
+        return always;
+    }
 }
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -23,20 +23,7 @@
 
 /** The listening side: accepts the application's connections, and ends them in order. */
 public final class ClientServer {
-    /** New connections go on coming for up to 0.4 s after SIGTERM. */
-    private static final long STILL_ACCEPTS_MILLIS = 600;
     private static final long SETTLE_MILLIS = 20;
-    /** SIGKILL comes no sooner after SIGTERM than this and the longest deadline. */
-    private static final long GRACE_MILLIS = 700;
-    /** But of a deadline no more than this is waited for. */
-    private static final long LONGEST_WAITED_MILLIS = 3000;
-    /**
-     * Of that, what is kept back: what SIGKILL finds unanswered is lost. A process may be held up for 150 ms
-     * between reading its clock and writing, and hears of SIGTERM some tens of milliseconds late.
-     */
-    private static final long RESERVE_MILLIS = 300;
-    /** At the end of the service, for the last requests and their answers. */
-    private static final long LAST_REQUEST_MILLIS = 300;
     /**
      * For so long after SIGTERM a connection that the application keeps may still bring a request, where
      * another process accepts already; it is told then that it was the last one.
@@ -330,27 +317,28 @@
      * already or will: nothing more is accepted, each answer is the last one on its connection, and
      * connections on which nothing is asked any more are ended soon, so that all of it is over early. Else
      * see {@link #drainAlone}.
+     *
+     * @param toldAgo nanoseconds since the process was told to end: SIGKILL does not wait for a late loop
      */
-    public void drain(Runnable whenDrained) {
+    public void drain(long toldAgo, Runnable whenDrained) {
         draining = true;
         drained = whenDrained;
-        // Danger: where deadlines are longer SIGKILL does not wait for them, and finds what came since.
-        long longest = Math.min(LONGEST_WAITED_MILLIS,
-                TimeUnit.NANOSECONDS.toMillis(exchanges.longestDeadline()));
-        long end = Math.max(STILL_ACCEPTS_MILLIS + LAST_REQUEST_MILLIS,
-                longest + GRACE_MILLIS - RESERVE_MILLIS);
-        exchanges.endBy(loop.now() + millis(end));
-        logDrain("begun end_ms=" + end);
+        long toldAt = loop.now() - toldAgo;
+        DrainSchedule schedule = DrainSchedule.of(exchanges.longestDeadline());
+        exchanges.endBy(toldAt + schedule.end());
+        logDrain("begun told_ago_ms=" + TimeUnit.NANOSECONDS.toMillis(toldAgo) + " end_ms="
+                + TimeUnit.NANOSECONDS.toMillis(schedule.end()));
         if (held) {
             backlog.stop();
             lastCall = true;
-            loop.after(millis(KEPT_AFTER_TERM_MILLIS),
+            loop.at(toldAt + millis(KEPT_AFTER_TERM_MILLIS),
                     () -> List.copyOf(connections).forEach(ClientConnection::endIfIdle));
         } else {
-            drainAlone(end);
+            drainAlone(toldAt, schedule);
         }
-        // Danger: the end would wait for a request that never ends.
-        loop.after(millis(end), () -> {
+        // What is due at the end is answered at the end; what is still open then never ends, and is not
+        // waited for.
+        loop.at(toldAt + schedule.end() + millis(SETTLE_MILLIS), () -> {
             logDrain("ended");
             List.copyOf(connections).forEach(ClientConnection::closeIfNothingIsOpen);
         });
@@ -364,9 +352,9 @@
      * This covers whatever makes another sidecar late or leaves none. Danger: where SIGKILL came sooner than
      * told, or clients waited for the end before they went elsewhere, it would cost more than it saves.
      */
-    private void drainAlone(long end) {
-        loop.after(millis(STILL_ACCEPTS_MILLIS), () -> backlog.end(this::endWhenDrained));
-        loop.after(millis(end - LAST_REQUEST_MILLIS), () -> {
+    private void drainAlone(long toldAt, DrainSchedule schedule) {
+        loop.at(toldAt + schedule.acceptsUntil(), () -> backlog.end(this::endWhenDrained));
+        loop.at(toldAt + schedule.lastCall(), () -> {
             logDrain("last_call");
             lastCall = true;
             List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
--- a/sidecar/src/main/java/appleridge/transport/SystemLog.java
+++ b/sidecar/src/main/java/appleridge/transport/SystemLog.java
@@ -51,8 +51,8 @@
             LOG.log(how, line, cause);
         } else if (LOG.isLoggable(how)) {
             String why = cause == null ? "" : " (" + cause + ")";
-            System.err.println(String.format("%tT %s %s%s", SystemTime.UNIX_MILLIS.getAsLong(), how.getName(),
-                    line, why));
+            System.err.println(String.format("%tT.%<tL %s %s%s", SystemTime.UNIX_MILLIS.getAsLong(),
+                    how.getName(), line, why));
         }
     }
 
@@ -69,6 +69,10 @@
     /** Danger: one limit over all kinds would let a frequent kind hide a rare one. */
     @Override
     public void event(LogEvent kind, Supplier<String> fields) {
+        if (kind.isAlwaysWritten()) {
+            write(level, kind.label() + " " + fields.get(), null);
+            return;
+        }
         events.computeIfAbsent(kind, each -> new Sieve())
                 .log(level, () -> kind.label() + " " + fields.get(), null);
     }
