Servers that are all cold are not shut together after the first answer

Its slow-start credit follows what this process has been seen to serve, which after one answer is one request in a ramp time: six requests came, one was served, the others and the next were refused after 0.9 s each, attempts=0. Change: where no ready server is warm, each takes beyond its credit half of the constant of the slow-start budget (N + 3 sqrt(N) + 3) in the time in which it tips, shared by all sidecars, at moments spread by their rank. No draw of chance is added.

--- a/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
+++ b/sidecar/src/main/java/appleridge/decision/SymmetricRoundRobin.java
@@ -321,6 +321,8 @@
         long coldUntil;
         double coldCredit = Double.NaN;
         long coldAt;
+        /** From when on it may take one request beyond its slow-start credit. */
+        long spareAt;
         long nextTrial;
         long backoff;
         double limit = Admission.FIRST_LIMIT;
@@ -458,7 +460,7 @@
             Attempt attempt = new Attempt(server, now);
             call.attempts.add(attempt);
             admission.release(call);
-            server.coldCredit -= call.expected;
+            roster.charge(now, server, call);
             server.inFlight++;
             health.tried(now, server);
             actions.send(call.request.id(), server.id, 0);
@@ -561,6 +563,11 @@
 
     /** The list, the subscription to it, and the budget of cold servers. */
     private final class Roster {
+        /**
+         * Requests that all sidecars together may send a cold server beyond what its capacity allows, in the
+         * time in which it tips: half of the constant of the slow-start budget, N + 3 sqrt(N) + 3.
+         */
+        private static final double SPARE = 1.5;
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
         private long retryWait;
@@ -637,6 +644,7 @@
             boolean fresh = server == null || entry.startedAt() > server.entry.startedAt();
             if (fresh) {
                 server = new Server(entry, now, health.window);
+                server.spareAt = now + (long) (pattern.place * spareInterval());
                 servers.put(entry.id(), server);
                 server.coldUntil = entry.startedAt() == 0 ? 0
                         : entry.startedAt() + settings.limits().rampTime();
@@ -672,7 +680,27 @@
             double most = rate * settings.limits().tipAfter() / 2;
             server.coldCredit = Math.min(most, server.coldCredit + rate * (now - server.coldAt));
             server.coldAt = now;
-            return server.coldCredit >= (own && random.nextDouble() < share ? -call.expected : 0);
+            return server.coldCredit >= (own && random.nextDouble() < share ? -call.expected : 0)
+                    || now < warmFrom && now >= server.spareAt;
+        }
+
+        /**
+         * Takes a request off a server's slow-start credit, or where that is used up, off what it may take
+         * beyond. Invariant: servers that are all cold are not shut together for good. Before them the credit
+         * follows what is served, and would fall with it to one request in a ramp time.
+         */
+        void charge(long now, Server server, Call call) {
+            if (server.coldCredit < 0) {
+                server.spareAt = now + spareInterval();
+            }
+            if (server.coldCredit >= -call.expected || now >= server.coldUntil) {
+                server.coldCredit -= call.expected;
+            }
+        }
+
+        /** The constant part of the slow-start budget, of which half is used, is shared by all sidecars. */
+        private long spareInterval() {
+            return (long) (settings.replicas() * settings.limits().tipAfter() / SPARE);
         }
 
         /**
--- a/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
+++ b/sidecar/src/test/java/appleridge/decision/SymmetricRoundRobinTest.java
@@ -738,6 +738,55 @@
         assertEquals(List.of("refuse 1", "refuse 2", "refuse 3"), host.answers);
     }
 
+    /**
+     * Guards against a process that is new before a server that is cold: its first answer was all that it
+     * knew of what a server can do, and everything else was refused for seconds.
+     */
+    @Test
+    void aNewProcessGoesOnSendingToALoneColdServer() {
+        int sent = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Recorder host = ofMany(0, 1, seed);
+            host.logic.listChanged(host.now, ListKind.CACHED, List.of(upstream(1, State.READY, host.now)));
+            host.advance(300 * MS);
+            host.burst(0, 6, 0);
+            answerAtOnce(host, 1_000 * MS);
+            int before = host.sends.size();
+            host.request(6, 0);
+            answerAtOnce(host, 1_000 * MS);
+            sent += host.sends.size() - before;
+        }
+        assertTrue(sent >= 70, "the seventh request was sent in " + sent + " of 100");
+    }
+
+    /** Lets time pass; what is sent meanwhile is answered after 2 ms. */
+    private static void answerAtOnce(Recorder host, long time) {
+        Set<Recorder.Sent> answered = new HashSet<>();
+        for (long end = host.now + time; host.now < end;) {
+            host.advance(2 * MS);
+            host.sends.stream().filter(sent -> sent.at() >= end - time && answered.add(sent)).toList()
+                    .forEach(sent -> host.outcome(sent, Outcome.OK));
+        }
+    }
+
+    /** Guards against what a new process may send beyond the credit, which adds up over a fleet. */
+    @Test
+    void whatAFleetOfNewProcessesSendsToAColdServerStaysWithinTheConstantOfItsBudget() {
+        long cold = 0;
+        for (int sidecar = 0; sidecar < 100; sidecar++) {
+            Recorder host = ofMany(sidecar, 100);
+            host.logic.listChanged(host.now, ListKind.CACHED, List.of(upstream(1, State.READY, host.now)));
+            int before = host.sends.size();
+            for (int id = 0; id < 10; id++) {
+                host.request(id, 0);
+                answerAtOnce(host, 150 * MS);
+            }
+            // What goes by the credit of a process that has served nothing is one request at most.
+            cold += Math.max(0, host.sends.size() - before - 1);
+        }
+        assertTrue(cold <= 3, "beyond the credit: " + cold);
+    }
+
     @Test
     void aFleetThatIsColdAsAWholeIsUsed() {
         Recorder host = host(REPEATABLE);
