The lease test's command that acts apart lives as long as it acts

Cause of TaskIT.whateverHappensToTheHolderItsCommandDies failing now and then (7 of 20 runs beside other work, twice in landings): the stand-in's Perl declared the pipe by which its first process waits for the acting one inside a block, at whose end Perl closes it. So the command was over at once, its task ended in order, and 2 s later, cut off from the store, it had gone where the test wants it alive; the next holder begins 3.8 s later. The log kept showed "the command is over, ended 0" 0.5 s after its beginning.

--- a/rig/src/main/java/appleridge/rig/lease/TaskFleet.java
+++ b/rig/src/main/java/appleridge/rig/lease/TaskFleet.java
@@ -45,8 +45,10 @@
     private static final String ACTS = """
             use IO::Socket::INET; use POSIX;
             my ($port, $manner, $number) = @ARGV;
+            # Not of the block: Perl would close them at its end, and the command be over while it acts.
+            my ($over, $acting);
             if ($manner eq 'APART') {
-                pipe(my $over, my $acting);
+                pipe($over, $acting);
                 if (fork) { close $acting; <$over>; exit 0; }
                 POSIX::setsid(); exit 0 if fork;
             }
--- a/rig/src/test/java/appleridge/rig/lease/TaskIT.java
+++ b/rig/src/test/java/appleridge/rig/lease/TaskIT.java
@@ -73,7 +73,7 @@
             int cutOff = fleet.witness.holder();
             fleet.cut(cutOff, true);
             changes(fleet, 2);
-            assertTrue(fleet.tasks.get(cutOff).alive());
+            assertTrue(fleet.tasks.get(cutOff).alive(), () -> logs(fleet));
             fleet.cut(cutOff, false);
             int holder = fleet.witness.holder();
             fleet.tasks.get(holder).guardian().orElseThrow().destroyForcibly();
