The stall handling of the exchanges is a pure module of its own

EventLoopStallGuard has it now, told the time of each event and asked what has to be looked at again; beat, heed and stood still are tick, reconcile and stalled. No behaviour changes.

--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -25,28 +25,18 @@
  * and the module one outcome for each send. Everything runs on one thread, and time comes in from outside.
  */
 public final class Exchanges implements Actions {
-    /** The longest stand-still of the thread that is not looked after; half of what drains allow, if less. */
-    private static final long STOOD_STILL = TimeUnit.MILLISECONDS.toNanos(500);
-    /**
-     * A beat that is missed by so much tells that the thread was late: it is looked after each 100 ms. For as
-     * long after that, what is read may have come while it was.
-     */
-    private static final long LATE = TimeUnit.MILLISECONDS.toNanos(150);
     /**
      * For so long at most requests wait, after the thread stood still for longer than drains allow, for word
      * of what the list has come to meanwhile.
      */
     private static final long LIST_AWAITED = TimeUnit.MILLISECONDS.toNanos(500);
-    /** For so long after that, what is read may have waited since before. */
-    private static final long AFTERMATH = TimeUnit.SECONDS.toNanos(1);
     private static final float[] NO_LOAD = {};
 
     private final Time time;
     private final Timers timers;
     private final Settings settings;
     private final int maxOpen;
-    /** A beat that is missed by so much tells that the thread stood still. */
-    private final long stoodStill;
+    private final EventLoopStallGuard guard;
     private final Upstreams upstreams;
     private final Log log;
     private final RequestLog requestLog;
@@ -66,17 +56,6 @@
     /** Requests that the module has not heard of, for the list may be too old; null while it is not. */
     private List<Runnable> unheard;
     private Timers.Timer listAwaited;
-    private long beat;
-    private long stoodStillUntil;
-    /** The last beat before the thread was late, and when it beat again. */
-    private long lateFrom;
-    private long lateUntil;
-    /** The end of the first of late turns in a row. */
-    private long lateSince;
-    /** When all that was there had last been read, or clients had been looked after. */
-    private long looked;
-    /** The end of the last stretch of work so long that clients were looked after in it. */
-    private long crowdedUntil;
     private long endsAt = Long.MAX_VALUE;
     private Tally tally = Tally.NONE;
     /** Events from outside that have been handled. */
@@ -96,15 +75,10 @@
         this.timers = timers;
         this.settings = settings;
         this.maxOpen = maxOpen;
-        this.stoodStill = Math.min(STOOD_STILL, Math.max(LATE, settings.limits().drainGrace() / 2));
+        this.guard = new EventLoopStallGuard(time.now(), settings.limits().drainGrace());
         this.upstreams = upstreams;
         this.log = log;
         this.requestLog = new RequestLog(time, log);
-        this.beat = time.now();
-        this.stoodStillUntil = beat - AFTERMATH;
-        this.lateUntil = beat - AFTERMATH;
-        this.looked = beat;
-        this.crowdedUntil = beat - AFTERMATH;
         this.balancer = module.apply(this);
     }
 
@@ -150,10 +124,10 @@
             ready.remove(id);
             endpoints.remove(id);
         }
-        // Danger: what a beat takes in is newer than this, and would be told to the module ahead of it.
+        // Danger: what a tick takes in is newer than this, and would be told to the module ahead of it.
         tell(() -> balancer.listChanged(time.now(), kind, entries));
         callOffWhatHasNotBegun();
-        heed();
+        reconcile();
         if (kind != ListKind.FAILED && lists.isCaughtUp()) {
             hear();
         }
@@ -225,55 +199,32 @@
     }
 
     /**
-     * To be called now and then, at least some times as often as a stand-still is long, and by a timer: all
-     * that was there has been read by then.
+     * To be called now and then, at least some times as often as a stall is long, and by a timer: all that
+     * was there has been read by then.
      */
-    public void beat() {
-        heed();
-        looked = beat;
+    public void tick() {
+        reconcile();
+        guard.allRead();
     }
 
     /**
-     * Danger: after the thread stood still, what discovery told meanwhile waits unread behind requests that
-     * have come too, and the time within which it must be heeded has run. All that comes from outside begins
-     * with this, ahead of anything it changes here: the module may act on what is read, and must find things
-     * as it knows them.
+     * Danger: after the loop stalled, what discovery told meanwhile waits unread behind requests that have
+     * come too, and the time within which it must be heeded has run. All that comes from outside begins with
+     * this, ahead of anything it changes here: the module may act on what is read, and must find things as
+     * it knows them.
      */
-    private void heed() {
+    private void reconcile() {
         events++;
-        long now = time.now();
-        boolean late = now - beat > LATE;
-        boolean stood = now - beat > stoodStill;
-        if (stood) {
-            if (now - beat > settings.limits().drainGrace() && unheard == null) {
-                requestLog.deferred(true, open, now - beat);
-                awaitList();
-            }
-            stoodStillUntil = now;
-        }
-        if (late) {
-            // Danger: late again so soon, it has not come to the end of what came before: connections are
-            // accepted four at a time, and a new one's request is looked at one turn later.
-            // But one that is late for good has come to it, or all that is read would be too old.
-            boolean again = beat - lateUntil < LATE;
-            lateSince = again ? lateSince : now;
-            lateFrom = again && now - lateSince < AFTERMATH ? lateFrom : beat;
-            lateUntil = now;
-        }
-        beat = now;
-        // Danger: where much is read at once, one after the other, no beat is missed, and yet what is read
-        // last has waited for as long as all of it took.
-        boolean crowded = now - looked > LATE;
-        if (crowded) {
-            crowdedUntil = now;
-        }
-        if (late || crowded) {
-            looked = now;
-        }
-        if ((late || crowded) && lists != null && !catchingUp) {
+        guard.observe(time.now());
+        boolean stalled = guard.isStalled();
+        if (stalled && guard.gap() > settings.limits().drainGrace() && unheard == null) {
+            requestLog.deferred(true, open, guard.gap());
+            awaitList();
+        }
+        if (guard.mayHaveMissedClients() && lists != null && !catchingUp) {
             catchingUp = true;
             try {
-                if (stood) {
+                if (stalled) {
                     lists.catchUp();
                 }
                 lookAfterClients();
@@ -296,28 +247,21 @@
         }
     }
 
-    /**
-     * Whether what is read from clients now may have waited unread while the thread was late or stood still.
-     * Danger: its client may have given up since, and it would be sent as if it had just come.
-     */
+    /** Whether what is read from clients now may have waited unread, and its client have left since. */
     public boolean mayHaveWaited() {
-        heed();
-        return beat - stoodStillUntil < AFTERMATH || beat - lateUntil < LATE || beat - crowdedUntil < LATE;
+        reconcile();
+        return guard.mayHaveWaited();
     }
 
-    /**
-     * Since when what is read from clients now may have been there. Danger: counted from when the thread
-     * comes to read it, a request that waited is answered as much later than its client waits for it; so
-     * what is read soon after the thread was late counts as having come at its last beat before.
-     */
+    /** Since when what is read from clients now may have been there. */
     public long cameAt() {
-        heed();
-        return beat - lateUntil < LATE ? lateFrom : beat;
+        reconcile();
+        return guard.arrivedAt();
     }
 
     /** Takes a request over; what is returned is to be run when its client leaves. */
     public Runnable accept(ClientRequest request, Front client) {
-        heed();
+        reconcile();
         tally.taken(request.requestClass());
         if (open >= maxOpen) {
             // Nothing was sent for it, so that a repeat is harmless.
@@ -378,7 +322,7 @@
 
     /** The module has not answered in time: nothing more is to be done for it there either. */
     private void giveUp(Call call) {
-        heed();
+        reconcile();
         fail(call, Front.Cause.LATE);
         callOffWhatNobodyWaitsFor(call);
         callOffWhatTheModuleLeaves(call);
@@ -386,7 +330,7 @@
     }
 
     private void hangUp(Call call) {
-        heed();
+        reconcile();
         if (!call.over) {
             end(call, Tally.End.LEFT);
             callOffWhatNobodyWaitsFor(call);
@@ -444,30 +388,30 @@
                      */
                     @Override
                     public void connected() {
-                        heed();
+                        reconcile();
                     }
 
                     @Override
                     public boolean begins(Flow answer) {
-                        heed();
+                        reconcile();
                         return begun(attempt, answer);
                     }
 
                     @Override
                     public void letGo() {
-                        heed();
+                        reconcile();
                         Exchanges.this.letGo(attempt);
                     }
 
                     @Override
                     public void committed() {
-                        heed();
+                        reconcile();
                         timeRuns(attempt);
                     }
 
                     @Override
                     public void ended(Outcome outcome, Reply reply) {
-                        heed();
+                        reconcile();
                         Exchanges.this.ended(attempt, outcome, reply);
                     }
                 });
@@ -498,7 +442,7 @@
     }
 
     private void due(Attempt attempt) {
-        heed();
+        reconcile();
         if (attempt.done) {
             return;
         }
@@ -620,7 +564,7 @@
     /** The request is over: nothing more is sent for it. */
     private void end(Call call, Tally.End how) {
         call.over = true;
-        requestLog.ended(call, how, beat);
+        requestLog.ended(call, how, guard.lastEvent());
         tally.ended(call.request.requestClass(), how);
         names.remove(call.request.name());
         call.backstop.cancel();
@@ -693,7 +637,7 @@
     public void timer(long token, long at) {
         timers.at(at, () -> {
             if (!closed) {
-                heed();
+                reconcile();
                 tell(() -> balancer.timer(time.now(), token));
             }
         });
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -302,7 +302,7 @@
     }
 
     private void sweep() {
-        exchanges.beat();
+        exchanges.tick();
         long now = loop.now();
         monitor.tick(now);
         for (ClientConnection each : List.copyOf(connections)) {
--- a/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
+++ b/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
@@ -286,7 +286,7 @@
     private void pass(long nanos) {
         for (long left = nanos; left > 0; left -= 100 * MS) {
             hand.advance(Math.min(left, 100 * MS));
-            exchanges.beat();
+            exchanges.tick();
         }
     }
 
@@ -366,7 +366,7 @@
         long before = hand.now();
         for (int i = 0; i < 3; i++) {
             hand.standStill(200 * MS);
-            exchanges.beat();
+            exchanges.tick();
             pass(100 * MS);
         }
         assertEquals(before, exchanges.cameAt());
@@ -374,7 +374,7 @@
         assertEquals(hand.now(), exchanges.cameAt());
         for (int i = 0; i < 20; i++) {
             hand.standStill(200 * MS);
-            exchanges.beat();
+            exchanges.tick();
         }
         assertEquals(hand.now() - 200 * MS, exchanges.cameAt(), "a thread that is late for good serves on");
     }
@@ -402,10 +402,10 @@
     @Test
     void aSecondWaitForTheListHasItsOwnEnd() {
         hand.standStill(2500 * MS);
-        exchanges.beat();
+        exchanges.tick();
         drain(1);
         hand.standStill(2500 * MS);
-        exchanges.beat();
+        exchanges.tick();
         ask("a", 900 * MS);
         hand.advance(300 * MS);
         assertEquals(0, sent.size());
@@ -451,7 +451,7 @@
     @Test
     void afterLongerThanDrainsAllowRequestsWaitForWordOfTheList() {
         hand.standStill(2500 * MS);
-        exchanges.beat();
+        exchanges.tick();
         hand.advance(350 * MS);
         Client client = ask("a", 900 * MS);
         assertEquals(0, sent.size());
@@ -464,7 +464,7 @@
     @Test
     void butNotForLongWhereThereIsNoWord() {
         hand.standStill(2500 * MS);
-        exchanges.beat();
+        exchanges.tick();
         hand.advance(350 * MS);
         ask("a", 900 * MS);
         assertEquals(0, sent.size());
