Failing test: what is held is sent 130 ms after its client left while the loop was late

Need: an attempt that begins over 0.1 s after its client closed is a lost request, and a process may be held up for 150 ms; a loop that is late by less than 150 ms was "open by design" in docs/races.md. LeavingClientTest holds the loop for 130 ms as well, for what waits unread (passes) and for what is held while room comes (fails: it is sent).

--- a/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/LeavingClientTest.java
@@ -389,7 +389,7 @@
      */
     @Test
     void whatWaitedUnreadWhileTheLoopStoodStillIsNotSent() throws Exception {
-        for (long still : new long[] {320, 700}) {
+        for (long still : new long[] {130, 320, 700}) {
             for (Leaving way : WAYS) {
                 try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
                         StubUpstream upstream = new StubUpstream(GOOD)) {
@@ -449,35 +449,41 @@
      */
     @Test
     void whatIsHeldIsNotSentWhereRoomCameWhileTheLoopStoodStill() throws Exception {
-        for (Leaving way : WAYS) {
-            CountDownLatch gate = new CountDownLatch(1);
-            CountDownLatch answered = new CountDownLatch(2);
-            StubUpstream.Script script = (socket, request) -> {
-                after(gate).serve(socket, request);
-                answered.countDown();
-                return true;
-            };
-            try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-                    StubUpstream upstream = new StubUpstream(script)) {
-                begin(discovery, json -> json, LoopbackNode.targets(upstream));
-                List<TestClient> busy = ask(2, "read");
-                upstream.nextRequest();
-                upstream.nextRequest();
-                List<TestClient> leaving = ask(way.clients, "read");
-                await("held", () -> books().open() == 2 + way.clients);
-                CountDownLatch left = standStill(320);
-                gate.countDown();
-                assertTrue(answered.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
-                way.leave(leaving);
-                left.countDown();
-                for (TestClient each : busy) {
-                    assertEquals(200, TestClient.status(each.read()));
-                    each.close();
-                }
-                await("gone", () -> books().open() == 0);
-                nothingIsSentBefore("last", upstream);
-                closeNode();
+        for (long still : new long[] {130, 320}) {
+            for (Leaving way : WAYS) {
+                roomComesWhileTheLoopStandsStill(still, way);
+            }
+        }
+    }
+
+    private void roomComesWhileTheLoopStandsStill(long still, Leaving way) throws Exception {
+        CountDownLatch gate = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(2);
+        StubUpstream.Script script = (socket, request) -> {
+            after(gate).serve(socket, request);
+            answered.countDown();
+            return true;
+        };
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream = new StubUpstream(script)) {
+            begin(discovery, json -> json, LoopbackNode.targets(upstream));
+            List<TestClient> busy = ask(2, "read");
+            upstream.nextRequest();
+            upstream.nextRequest();
+            List<TestClient> leaving = ask(way.clients, "read");
+            await("held", () -> books().open() == 2 + way.clients);
+            CountDownLatch left = standStill(still);
+            gate.countDown();
+            assertTrue(answered.await(LoopbackNode.PATIENCE_SECONDS, TimeUnit.SECONDS));
+            way.leave(leaving);
+            left.countDown();
+            for (TestClient each : busy) {
+                assertEquals(200, TestClient.status(each.read()));
+                each.close();
             }
+            await("gone", () -> books().open() == 0);
+            nothingIsSentBefore("last", upstream);
+            closeNode();
         }
     }
 
