Clients are looked at when the loop was late by 80 ms, not by 150

Cause: a client's end and what lets its held request go on may both lie unread while the loop is late; they were looked at again from 150 ms on, since the loop's ticks were 100 ms apart. An attempt may begin no more than 0.1 s after its client has left, and a hold-up of 0.15 s is an ordinary event: 100 to 150 ms were a gap. Class: a limit that is looser than the rule it guards. Change: ticks of 40 ms for this alone, and clients are looked at from a gap, or a turn, of 80 ms on; what counts as late arrival (150 ms) and as a stall stays. ExchangesTest ticks each 40 ms, as the product does; its expectations stay.

--- a/sidecar/src/main/java/appleridge/exchange/EventLoopStallGuard.java
+++ b/sidecar/src/main/java/appleridge/exchange/EventLoopStallGuard.java
@@ -15,6 +15,11 @@
     private static final long LONGEST_UNCHECKED = TimeUnit.MILLISECONDS.toNanos(500);
     /** A gap of so much tells that the loop was late; for as long after, what is read may have come in it. */
     private static final long LATE = TimeUnit.MILLISECONDS.toNanos(150);
+    /**
+     * From a gap of so much on, clients are looked at: no attempt may begin more than 0.1 s after its client
+     * has left. Twice as long as from one {@link #allRead} to the next, so that a quiet loop looks at nobody.
+     */
+    private static final long CLIENTS_UNSEEN = TimeUnit.MILLISECONDS.toNanos(80);
     /** For so long after a stall, what is read may have waited since before. */
     private static final long AFTERMATH = TimeUnit.SECONDS.toNanos(1);
 
@@ -31,8 +36,8 @@
     private long lateSince;
     /** When all that was there had last been read, or clients had been looked at. */
     private long allReadAt;
-    /** The end of the last stretch of work so long that clients were looked at in it. */
-    private long busyUntil;
+    /** When clients were last looked at because the loop was late. */
+    private long lookedAt;
 
     /**
      * Begins to watch.
@@ -46,31 +51,27 @@
         this.allReadAt = now;
         this.stalledUntil = now - AFTERMATH;
         this.lateUntil = now - AFTERMATH;
-        this.busyUntil = now - AFTERMATH;
+        this.lookedAt = now - AFTERMATH;
     }
 
     /** An event is about to be handled; to be asked about afterwards. */
     void observe(long now) {
         gap = now - lastEvent;
         stalled = gap > stall;
-        boolean late = gap > LATE;
         if (stalled) {
             stalledUntil = now;
         }
-        if (late) {
+        if (gap > LATE) {
             noteLate(now);
         }
-        lastEvent = now;
         // Danger: where much is read at once, one after the other, there is no gap, and yet what is read
         // last has waited for as long as all of it took.
-        boolean busy = now - allReadAt > LATE;
-        if (busy) {
-            busyUntil = now;
-        }
-        clientsUnchecked = late || busy;
+        clientsUnchecked = gap > CLIENTS_UNSEEN || now - allReadAt > CLIENTS_UNSEEN;
         if (clientsUnchecked) {
+            lookedAt = now;
             allReadAt = now;
         }
+        lastEvent = now;
     }
 
     /**
@@ -112,8 +113,7 @@
 
     /** Whether what is read from clients now may have waited unread, and its client have left since. */
     boolean mayHaveWaited() {
-        return lastEvent - stalledUntil < AFTERMATH || lastEvent - lateUntil < LATE
-                || lastEvent - busyUntil < LATE;
+        return lastEvent - stalledUntil < AFTERMATH || lastEvent - lookedAt < LATE;
     }
 
     /**
--- a/sidecar/src/main/java/appleridge/http1/ClientServer.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientServer.java
@@ -30,6 +30,8 @@
      */
     private static final long KEPT_AFTER_TERM_MILLIS = 500;
     private static final long SWEEP_MILLIS = 100;
+    /** From one look at how late the loop is to the next: half of what a client's leaving may go unseen. */
+    private static final long TICK_MILLIS = 40;
     /** After accepting failed, for descriptors to be free again. */
     private static final long ACCEPT_AGAIN_MILLIS = 50;
     /** What is accepted between two looks at the connections there are; also what may come over the cap. */
@@ -51,6 +53,7 @@
     private final ClientTimes times;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final Timers.Timer sweeper;
+    private final Timers.Timer stallTicks;
     private final Backlog backlog;
     private final EventLoopMonitor monitor;
     /** Of those, what it may hold now. */
@@ -79,6 +82,7 @@
         this.monitor = new EventLoopMonitor(loop, millis(SWEEP_MILLIS), exchanges::events);
         this.backlog = new Backlog(loop, maxConnections, this::hasRoom);
         this.sweeper = loop.every(millis(SWEEP_MILLIS), this::sweep);
+        this.stallTicks = loop.every(millis(TICK_MILLIS), exchanges::tick);
     }
 
     /** Listens on this address only; the future has the address when it does. */
@@ -391,6 +395,7 @@
     /** Ends at once, whatever is open. */
     public void close() {
         sweeper.cancel();
+        stallTicks.cancel();
         if (held) {
             backlog.stop();
         } else {
--- a/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
+++ b/sidecar/src/test/java/appleridge/exchange/ExchangesTest.java
@@ -282,10 +282,10 @@
         return client;
     }
 
-    /** Beats as the clients' side does. */
+    /** Ticks as the clients' side does. */
     private void pass(long nanos) {
-        for (long left = nanos; left > 0; left -= 100 * MS) {
-            hand.advance(Math.min(left, 100 * MS));
+        for (long left = nanos; left > 0; left -= 40 * MS) {
+            hand.advance(Math.min(left, 40 * MS));
             exchanges.tick();
         }
     }
