A service that answers watches at once is not asked without rest either

Cause, the incident's class (busy waiting) over the network: Discovery rested for 100 ms only before agents; a service that answers a watch at once with no news was asked again at once, ten times in 25 ms. Change: the rest holds for both; it is counted from the watch's beginning, so that one which waited has none, and is shorter than the 200 ms in which a watch goes on.

--- a/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
+++ b/sidecar/src/main/java/appleridge/membership/registry/Discovery.java
@@ -56,9 +56,9 @@
 
     private static final String LIST = "/registry/instances";
     /**
-     * From one watch at an agent to the next, where the first had no news. Danger: an agent that answers a
-     * watch at once, with what it has, would be asked over and over with no rest. Drains may have to be
-     * heeded in 250 ms. A discovery that is asked keeps a watch waiting, and is asked again at once.
+     * From one watch to the next, where the first had no news. Invariant: nobody is asked without rest, as an
+     * agent or a service would be that answers a watch at once with what it has. Less than the 200 ms in
+     * which a watch goes on, and than the 250 ms in which drains may have to take effect.
      */
     private static final long BETWEEN_WATCHES = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -309,7 +309,7 @@
         revision = update.revision();
         wholeFirst &= update.kind() != ListKind.FULL;
         long rest = watchedAt + BETWEEN_WATCHES - loop.now();
-        if (news || rest <= 0 || !pace.wholeAgain) {
+        if (news || rest <= 0) {
             goOn();
         } else {
             timeout = loop.after(rest, this::goOn);
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryTest.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import appleridge.config.Config;
 import appleridge.daemon.LoopbackNode.Figures;
 
@@ -326,11 +328,13 @@
     }
 
     /**
-     * Guards against a loop that does nothing but ask, where an agent answers watches at once though it has
-     * no news: the next one waits, but not for longer than a watch goes on.
+     * Guards against a loop that does nothing but ask, where watches are answered at once though there is no
+     * news: the next one waits, but not for longer than a watch goes on. For an agent and for a service that
+     * is asked.
      */
-    @Test
-    void whoAnswersWatchesAtOnceIsNotAskedWithoutRest() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"automatic", "subscribe"})
+    void whoAnswersWatchesAtOnceIsNotAskedWithoutRest(String mode) throws Exception {
         BlockingQueue<Long> asked = new LinkedBlockingQueue<>();
         try (StubUpstream one = new StubUpstream(GOOD); StubUpstream two = new StubUpstream(GOOD);
                 StubUpstream hasty = new StubUpstream((socket, request) -> {
@@ -341,7 +345,7 @@
                 });
                 LoopbackNode host = new LoopbackNode(LONG_WATCHES, null, json -> json.replaceAll(
                         "\"discovery\":\"127[^\"]*\"", "\"discovery\":\"" + hasty.address() + "\"")
-                                .replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\""),
+                                .replace("\"discovery\":\"subscribe\"", "\"discovery\":\"" + mode + "\""),
                         LoopbackNode.targets(one, two))) {
             // The first call is for the whole list, and is followed by a watch at once.
             asked.take();
@@ -352,7 +356,8 @@
             }
             long took = TimeUnit.NANOSECONDS.toMillis(last - second);
             assertTrue(took >= 500, "ten watches took " + took);
-            assertTrue(hasty.nextRequest().contains("/registry/instances HTTP/1.1"));
+            boolean agent = mode.equals("automatic");
+            assertTrue(hasty.nextRequest().contains(agent ? "/registry/instances HTTP/1.1" : "?since=1&"));
             assertTrue(hasty.nextRequest().contains("?since=2&"));
             assertServed(host, two, one);
         }
