The test of the timers' lateness looks at the median, as its name says

Cause: it bounded the mean lateness by 4 ms, so one long pause of a busy machine could fail it, and timers late by 3 ms each could pass. Change: each of 101 timers is measured, none is early and the median is late by less than 2 ms.

--- a/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
+++ b/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
@@ -9,6 +9,8 @@
 import io.netty.util.concurrent.Ticker;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.Arrays;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -66,12 +68,17 @@
     @Test
     void timersStillComeWithinTwoMillisecondsOnTheMedian() throws Exception {
         try (Group group = new Group(Ticker.systemTicker())) {
-            int timers = 101;
-            long began = System.nanoTime();
-            turnsFor(group.loop, timers, 3_400_000);
-            long each = (System.nanoTime() - began) / timers;
-            assertTrue(each >= 3_400_000, "never early: " + each);
-            assertTrue(each < 3_400_000 + 2 * 2_000_000, "late by: " + (each - 3_400_000));
+            long after = 3_400_000;
+            long[] late = new long[101];
+            for (int i = 0; i < late.length; i++) {
+                long began = System.nanoTime();
+                CompletableFuture<Long> came = new CompletableFuture<>();
+                group.loop.schedule(() -> came.complete(System.nanoTime()), after, TimeUnit.NANOSECONDS);
+                late[i] = came.get() - began - after;
+            }
+            Arrays.sort(late);
+            assertTrue(late[0] >= 0, "never early: " + late[0]);
+            assertTrue(late[late.length / 2] < 2_000_000, "late by: " + late[late.length / 2]);
         }
     }
 
