--- a/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
+++ b/sidecar/src/test/java/appleridge/transport/NioEventLoopFactoryTest.java
@@ -7,10 +7,10 @@
 import io.netty.channel.SingleThreadIoEventLoop;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Ticker;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
