--- a/sidecar/src/main/java/appleridge/exchange/Exchanges.java
+++ b/sidecar/src/main/java/appleridge/exchange/Exchanges.java
@@ -168,9 +168,19 @@
         return settings.classes().stream().mapToLong(RequestClass::deadline).max().orElseThrow();
     }
 
-    /** What is taken from now on has its answer by then, however long its client would wait. */
+    /** What is open, or is taken from now on, has its answer by then, however long its client would wait. */
     public void endBy(long at) {
         endsAt = at;
+        timers.at(at, this::giveUpOpen);
+    }
+
+    /** Answers what is still open; what has begun to flow has to end by itself. */
+    private void giveUpOpen() {
+        for (Call call : List.copyOf(calls.values())) {
+            if (!call.over && call.answering == null && !call.letGo) {
+                giveUp(call);
+            }
+        }
     }
 
     /** From now on it is counted here what becomes of requests. */
--- a/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/ClientServerTest.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The listening side: readiness, bad input, pipelining, the end of the service. */
 @Timeout(60)
@@ -450,12 +452,13 @@
     }
 
     /** Guards against requests held since before the end of the service that its process's end finds open. */
-    @Test
-    void whatWasTakenBeforeTheEndOfTheServiceIsAnsweredBeforeIt() throws Exception {
+    @ParameterizedTest
+    @ValueSource(strings = {"pay", "slow"})
+    void whatWasTakenBeforeTheEndOfTheServiceIsAnsweredBeforeIt(String requestClass) throws Exception {
         CountDownLatch drained = new CountDownLatch(1);
         try (StubUpstream silent = new StubUpstream(StubUpstream.SILENT);
                 LoopbackNode host = new LoopbackNode(silent); TestClient client = host.client()) {
-            client.send(TestClient.request("pay", "60.0"));
+            client.send(TestClient.request(requestClass, "60.0"));
             silent.nextRequest();
             host.node.drain(drained::countDown);
             long begun = System.nanoTime();
