Only a connect that fails at once can have failed for want of local means

Cause, found by reading the change once more: a connection that is reset while it comes up has the same type of exception in the JVM (SocketException) as one for which a port or buffer is wanting, and would have been told as a local failure: its upstream not ejected. Change: what is wanting here is told by the call that connects, at once; what the other side causes comes later and is its own.

--- a/sidecar/src/main/java/appleridge/transport/Connector.java
+++ b/sidecar/src/main/java/appleridge/transport/Connector.java
@@ -76,8 +76,7 @@
             if (registered.isSuccess()) {
                 told(channel.connect(address), channel, listener);
             } else {
-                channel.close();
-                loop.soon(() -> listener.noSocket(registered.cause()));
+                noMeans(channel, listener, registered.cause());
             }
         });
         return channel::close;
@@ -89,6 +88,10 @@
             loop.soon(() -> listener.connected(channel));
             return;
         }
+        if (connecting.isDone() && isLocal(connecting.cause())) {
+            noMeans(channel, listener, connecting.cause());
+            return;
+        }
         connecting.addListener(done -> {
             if (done.isSuccess()) {
                 listener.connected(channel);
@@ -100,21 +103,21 @@
 
     private void failed(Channel channel, Listener listener, Throwable cause) {
         channel.close();
-        loop.soon(() -> {
-            if (isLocal(cause)) {
-                listener.noSocket(cause);
-            } else {
-                listener.failed(cause);
-            }
-        });
+        loop.soon(() -> listener.failed(cause));
+    }
+
+    private void noMeans(Channel channel, Listener listener, Throwable cause) {
+        channel.close();
+        loop.soon(() -> listener.noSocket(cause));
     }
 
     /**
-     * Whether a connect failed for want of something on this machine (EADDRNOTAVAIL, ENOBUFS, EAGAIN). The
-     * JVM has types of its own for what the other side causes, refusal, silence and no route to the host,
-     * and none for a network that can't be reached, which is told by its text alone.
+     * Whether a connect that failed at once did so for want of something on this machine (EADDRNOTAVAIL,
+     * ENOBUFS, EAGAIN); what the other side causes, such as a reset, is told later. The JVM has types of its
+     * own for a refusal, for silence and for no route to the host, and none for a network that can't be
+     * reached, which is told by its text alone.
      */
-    static boolean isLocal(Throwable cause) {
+    private static boolean isLocal(Throwable cause) {
         return cause instanceof SocketException && !(cause instanceof ConnectException)
                 && !(cause instanceof NoRouteToHostException)
                 && !String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT).contains(UNREACHABLE);
