--- a/sidecar/src/test/java/appleridge/daemon/EndOfServiceIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/EndOfServiceIT.java
@@ -24,6 +24,8 @@
 class EndOfServiceIT {
     private static final int CLIENTS = 8;
     private static final long PAUSE_MILLIS = 5;
+    /** Of load before the end: both upstreams are in use, and one of them hangs. */
+    private static final long SETTLED_MILLIS = 500;
     /** A process may be held up for so long between reading its clock and writing. */
     private static final long HOLD_UP_MILLIS = 150;
     /** SIGKILL comes no sooner after SIGTERM than this and the longest deadline, of which 3 s count. */
@@ -71,7 +73,7 @@
                         LoopbackNode.targets(upstream, hangs)), deadlineMillis), Map.of());
                 ClosedLoopClients clients = new ClosedLoopClients(sidecar.address(), CLIENTS, PAUSE_MILLIS,
                         client -> TestClient.request("pay", String.valueOf(deadlineMillis / 1000.0)))) {
-            Thread.sleep(deadlineMillis);
+            Thread.sleep(SETTLED_MILLIS);
             boolean late = heldUpAt.length > 0 && heldUpAt[0] == 0;
             if (late) {
                 sidecar.signal("STOP");
