--- a/review/standin/review/BurstCase.java
+++ b/review/standin/review/BurstCase.java
@@ -23,7 +23,7 @@
     private static final int WORK_MS = 80;
     private static final int USUAL_CLIENTS = 20;
     private static final int USUAL_PAUSE_MS = 150;
-    private static final int BAD_CLIENTS = 60;
+    private static final int BAD_CLIENTS = 100;
     private static final int REQUESTS_AT_ONCE = 200;
     private static final int BODY_BYTES = 64 * 1024;
     private static final int BURSTS = 6;
