Review: exit with 2 for whatever is no verdict

Need: a script's status must tell a broken rule from a case that could not run; the JVM's own status for an error is 1 as well.

What no case uses is gone.

--- a/review/standin/review/BurstCase.java
+++ b/review/standin/review/BurstCase.java
@@ -43,8 +43,8 @@
         }
     }
 
-    public static void main(String[] args) throws IOException {
-        run(new BurstCase(Path.of(args[0])));
+    public static void main(String[] args) {
+        run(BurstCase::new, args);
     }
 
     @Override
--- a/review/standin/review/Case.java
+++ b/review/standin/review/Case.java
@@ -38,14 +38,29 @@
     /** Ends what the case has started. */
     protected abstract void end() throws Exception;
 
-    /** Runs a case and ends this process with its status. */
-    protected static void run(Case played) {
+    /** Creates a case from its folder. */
+    protected interface Factory {
+        Case create(Path folder) throws IOException;
+    }
+
+    /** Runs the case in the folder that is the first argument, and ends this process. */
+    protected static void run(Factory factory, String... arguments) {
+        try {
+            run(factory.create(Path.of(arguments[0])));
+        } catch (Throwable e) {
+            // The JVM's own status would be taken for a broken rule.
+            System.err.println("could not run: " + e);
+            System.exit(NOT_RUN);
+        }
+    }
+
+    private static void run(Case played) {
         int status = NOT_RUN;
         try {
             status = played.play() ? HELD : BROKEN;
         } catch (NotRunException e) {
             played.log.line("could not run: " + e.getMessage());
-        } catch (Exception e) {
+        } catch (Throwable e) {
             played.log.line("could not run: " + e);
         }
         try {
--- a/review/standin/review/Discovery.java
+++ b/review/standin/review/Discovery.java
@@ -23,22 +23,10 @@
     private final Log log;
     private final Map<String, Map<String, Object>> targets = new LinkedHashMap<>();
     private final Map<String, Integer> changedAt = new LinkedHashMap<>();
-    private final String model;
-    private final List<Socket> connections = new ArrayList<>();
     private int rev = 1;
 
-    /** Calls that are still to be turned away, and after how long. */
-    private int callsToRefuse;
-
-    private long refuseAfterMillis;
-
     public Discovery(Log log) throws IOException {
-        this(log, "std-3c");
-    }
-
-    public Discovery(Log log, String model) throws IOException {
         this.log = log;
-        this.model = model;
         listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
         Threads.start("discovery", this::accept);
     }
@@ -54,7 +42,7 @@
         target.put("uid", uid);
         target.put("endpoint", "127.0.0.1:" + port);
         target.put("az", zone);
-        target.put("model", model);
+        target.put("model", "std-3c");
         target.put("pod_group", 0);
         target.put("state", state);
         target.put("capacity_hint", 1.0);
@@ -65,24 +53,6 @@
         notifyAll();
     }
 
-    /** Turns the next calls away with 503, each after it has waited that long. */
-    public synchronized void refuse(int calls, long afterMillis) {
-        callsToRefuse = calls;
-        refuseAfterMillis = afterMillis;
-    }
-
-    /** Goes down: open connections are reset, and new ones refused. */
-    public void goDown() throws IOException {
-        listener.close();
-        synchronized (this) {
-            for (Socket connection : connections) {
-                connection.setSoLinger(true, 0);
-                connection.close();
-            }
-        }
-        log.line("discovery at " + address() + " is down");
-    }
-
     /** The whole list, as it stands. */
     public synchronized Map<String, Object> list() {
         return answer(0);
@@ -108,9 +78,6 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
-                synchronized (this) {
-                    connections.add(socket);
-                }
                 Threads.start("discovery call", () -> serve(socket));
             } catch (IOException e) {
                 return;
@@ -118,10 +85,6 @@
         }
     }
 
-    private synchronized boolean refuses() {
-        return callsToRefuse-- > 0;
-    }
-
     private void serve(Socket socket) {
         try (socket) {
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
@@ -130,13 +93,6 @@
                 Matcher since = SINCE.matcher(call.startLine());
                 Matcher wait = WAIT.matcher(call.startLine());
                 Map<String, Object> answer;
-                if (refuses()) {
-                    log.line("discovery at " + address() + " lets a call wait: " + call.startLine());
-                    Thread.sleep(refuseAfterMillis);
-                    out.write(Http.bytes("HTTP/1.1 503 Service Unavailable\r\n", new byte[0]));
-                    log.line("discovery at " + address() + " turns it away with 503");
-                    continue;
-                }
                 synchronized (this) {
                     int from = since.find() ? Integer.parseInt(since.group(1)) : 0;
                     long until =
--- a/review/standin/review/EndlessAnswerCase.java
+++ b/review/standin/review/EndlessAnswerCase.java
@@ -46,8 +46,8 @@
         super(folder);
     }
 
-    public static void main(String[] args) throws IOException {
-        run(new EndlessAnswerCase(Path.of(args[0])));
+    public static void main(String[] args) {
+        run(EndlessAnswerCase::new, args);
     }
 
     @Override
--- a/review/standin/review/SecondAnswerCase.java
+++ b/review/standin/review/SecondAnswerCase.java
@@ -40,8 +40,8 @@
         }
     }
 
-    public static void main(String[] args) throws IOException {
-        run(new SecondAnswerCase(Path.of(args[0])));
+    public static void main(String[] args) {
+        run(SecondAnswerCase::new, args);
     }
 
     @Override
--- a/review/standin/review/Settings.java
+++ b/review/standin/review/Settings.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Settings of the two sites of the kit: as the wire page and a day of the bench give them. */
+/** The settings of the site velo-trade-mu, as the wire page prints them, with four tenants. */
 public final class Settings {
     private Settings() {}
 
@@ -81,36 +81,4 @@
                         "overloadFactor", 4.0,
                         "tipAfter", 1_500_000_000));
     }
-
-    /** The site asahikawa-permits, with one sidecar. */
-    public static Map<String, Object> asahikawa() {
-        Map<String, Object> settings = site();
-        settings.put(
-                "profiles",
-                List.of(
-                        profile("permit-lookup", 750, 2500, "repeatable", "all", 5000),
-                        profile("plate-reserve", 200, 1000, "by_key", "cell", 2000),
-                        profile("permit-issue", 300, 750, "by_key", "all", 500)));
-        settings.put(
-                "parties",
-                List.of(
-                        map("name", "kamikawa-motors", "portion", 0.6, "quotaRps", 500.0),
-                        map("name", "ishikari-auto", "portion", 0.4, "quotaRps", 300.0)));
-        settings.put("zones", List.of("asahikawa-mr1"));
-        settings.put("kinds", List.of("fast-2c", "wide-4c"));
-        settings.put("quantum", 2_000_000);
-        settings.put("weights", "rough");
-        settings.put("report", map("how", "piggyback", "fields", List.of("busy", "rate")));
-        settings.put(
-                "rules",
-                map(
-                        "answerSlack", 8_000_000,
-                        "askWithin", 10_000_000_000L,
-                        "stopSendingWithin", 250_000_000,
-                        "coldShare", 0.12,
-                        "rampTime", 24_000_000_000L,
-                        "overloadFactor", 2.5,
-                        "tipAfter", 3_000_000_000L));
-        return settings;
-    }
 }
--- a/review/standin/review/Sidecar.java
+++ b/review/standin/review/Sidecar.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -19,12 +18,11 @@
     private final Process process;
     private final int port;
     private final Path output;
-    private final Path file;
 
     public Sidecar(Path root, Path folder, Map<String, Object> config) throws IOException {
         port = freePort();
         config.put("listen", "127.0.0.1:" + port);
-        file = folder.resolve("config.json");
+        Path file = folder.resolve("config.json");
         Files.writeString(file, Json.of(config));
         output = folder.resolve("sidecar.log");
         ProcessBuilder builder =
@@ -38,6 +36,7 @@
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.environment().put("TMPDIR", folder.toString());
         process = builder.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
     }
 
     /** The command under that key of the deploy file. */
@@ -93,18 +92,6 @@
         return false;
     }
 
-    public void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
-    }
-
-    /** Replaces the file of the configuration and sends SIGHUP. */
-    public void reload(Map<String, Object> config) throws IOException, InterruptedException {
-        Path next = file.resolveSibling("config.next");
-        Files.writeString(next, Json.of(config));
-        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        signal("HUP");
-    }
-
     public Path output() {
         return output;
     }
--- a/review/standin/review/UsualClient.java
+++ b/review/standin/review/UsualClient.java
@@ -27,7 +27,6 @@
 
     public static final Kind CHECK = new Kind("stock-check", "GET", 400);
     public static final Kind CONFIRM = new Kind("order-confirm", "POST", 1500);
-    public static final Kind LOOKUP = new Kind("permit-lookup", "GET", 2500);
 
     /** An answer may come this much later than the client's time. */
     private static final int SLACK_MS = 550;
@@ -37,16 +36,10 @@
     private final Sidecar sidecar;
     private final Log log;
     private final String name;
-    private final String tenant;
     private Socket socket;
     private InputStream in;
 
     public UsualClient(Sidecar sidecar, Log log, String name) {
-        this(sidecar, log, name, "cycles-moris");
-    }
-
-    public UsualClient(Sidecar sidecar, Log log, String name, String tenant) {
-        this.tenant = tenant;
         this.sidecar = sidecar;
         this.log = log;
         this.name = name;
@@ -110,15 +103,13 @@
         }
     }
 
-    private String head(Kind kind, String id) {
+    private static String head(Kind kind, String id) {
         return kind.method()
                 + " /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: "
                 + id
                 + "\r\nX-Class: "
                 + kind.name()
-                + "\r\nX-Tenant: "
-                + tenant
-                + "\r\nX-Deadline: "
+                + "\r\nX-Tenant: cycles-moris\r\nX-Deadline: "
                 + kind.deadlineMs() / 1000.0
                 + "\r\n"
                 + (kind.method().equals("POST") ? "Idempotency-Key: key-" + id + "\r\n" : "");
