--- a/review/standin/review/UsualClient.java
+++ b/review/standin/review/UsualClient.java
@@ -18,6 +18,9 @@
         FOREIGN,
         REFUSED,
         FAILED,
+        /** Its connection, a new one, ended without an answer. */
+        SHUT,
+        /** It had neither an answer nor an end when its time and the slack were up. */
         LOST,
         NOT_TAKEN
     }
@@ -75,7 +78,7 @@
                     log.line("closed under " + id + ", sent once more");
                     return null;
                 }
-                return ended(id, End.LOST, "connection ended without an answer");
+                return ended(id, End.SHUT, "connection ended without an answer");
             }
             if ("close".equals(answer.header("connection"))) {
                 close();
@@ -99,7 +102,7 @@
             }
             return sentAt == 0
                     ? ended(id, End.NOT_TAKEN, e.getMessage())
-                    : ended(id, End.LOST, e.getMessage());
+                    : ended(id, End.SHUT, e.getMessage());
         }
     }
 
