--- a/sidecar/src/test/java/appleridge/daemon/StreamedResponsesTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/StreamedResponsesTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -64,57 +63,6 @@
         };
     }
 
-    /** A response as the client receives it. */
-    private record ReceivedResponse(String head, byte[] body, boolean complete) {}
-
-    private static ReceivedResponse read(InputStream in) throws IOException {
-        String head = line(in);
-        StringBuilder lines = new StringBuilder(head);
-        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
-            lines.append('\n').append(line);
-        }
-        String text = lines.toString().toLowerCase();
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
-        if (text.contains("transfer-encoding: chunked")) {
-            while (true) {
-                String size = line(in);
-                if (size == null) {
-                    return new ReceivedResponse(text, body.toByteArray(), false);
-                }
-                int length = Integer.parseInt(size, 16);
-                byte[] chunk = in.readNBytes(length);
-                body.write(chunk);
-                String end = line(in);
-                if (end == null || chunk.length < length) {
-                    return new ReceivedResponse(text, body.toByteArray(), false);
-                }
-                if (length == 0) {
-                    return new ReceivedResponse(text, body.toByteArray(), true);
-                }
-            }
-        }
-        int at = text.indexOf("content-length: ");
-        if (at < 0) {
-            return new ReceivedResponse(text, in.readAllBytes(), true);
-        }
-        int length = Integer.parseInt(text.substring(at + 16).split("\n")[0]);
-        byte[] all = in.readNBytes(length);
-        return new ReceivedResponse(text, all, all.length == length);
-    }
-
-    private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int next = in.read(); next >= 0; next = in.read()) {
-            if (next == '\n') {
-                return line.toString();
-            }
-            if (next != '\r') {
-                line.append((char) next);
-            }
-        }
-        return null;
-    }
-
     @Test
     void longResponsesArriveUnchangedAndTheConnectionIsReused() throws Exception {
         for (boolean chunked : new boolean[] {false, true}) {
@@ -131,11 +79,12 @@
                         TestClient client = new TestClient(sidecar.runner.address())) {
                     for (int i = 0; i < 3; i++) {
                         client.send(TestClient.request(REQUEST_CLASS, "3.0"));
-                        ReceivedResponse response = read(client.socket.getInputStream());
+                        ReceivedResponse response =
+                                ReceivedResponse.read(client.socket.getInputStream());
                         assertTrue(
-                                response.complete && response.head.startsWith("http/1.1 200"),
-                                response.head);
-                        assertArrayEquals(body, response.body);
+                                response.complete() && response.head().startsWith("http/1.1 200"),
+                                response.head());
+                        assertArrayEquals(body, response.body());
                     }
                 }
             }
@@ -153,12 +102,14 @@
                             + TestClient.request(REQUEST_CLASS, "3.0")
                             + "GET /health/ready HTTP/1.1\r\n\r\n");
             for (int i = 0; i < 2; i++) {
-                assertArrayEquals(body, read(client.socket.getInputStream()).body);
+                assertArrayEquals(
+                        body, ReceivedResponse.read(client.socket.getInputStream()).body());
             }
             assertEquals(
                     "ready\n",
                     new String(
-                            read(client.socket.getInputStream()).body, StandardCharsets.US_ASCII));
+                            ReceivedResponse.read(client.socket.getInputStream()).body(),
+                            StandardCharsets.US_ASCII));
         }
     }
 
@@ -188,9 +139,9 @@
                     LoopbackSidecar sidecar = new LoopbackSidecar(upstream);
                     TestClient client = new TestClient(sidecar.runner.address())) {
                 client.send(TestClient.request(REQUEST_CLASS, "3.0"));
-                ReceivedResponse response = read(client.socket.getInputStream());
-                assertFalse(response.complete);
-                assertTrue(response.body.length <= body.length);
+                ReceivedResponse response = ReceivedResponse.read(client.socket.getInputStream());
+                assertFalse(response.complete());
+                assertTrue(response.body().length <= body.length);
                 assertEquals(
                         1, upstream.requests.size(), "no retry after the response has started");
                 assertEquals(
@@ -217,7 +168,7 @@
                 TestClient client = new TestClient(sidecar.runner.address())) {
             long sent = System.nanoTime();
             client.send(TestClient.request(REQUEST_CLASS, "3.0"));
-            assertFalse(read(client.socket.getInputStream()).complete);
+            assertFalse(ReceivedResponse.read(client.socket.getInputStream()).complete());
             long took = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sent);
             assertTrue(took > 4000 && took < 8000, took + " ms");
             never.countDown();
@@ -288,9 +239,9 @@
                             return in.read();
                         }
                     };
-            ReceivedResponse response = read(slow);
-            assertTrue(response.complete);
-            assertArrayEquals(body, response.body);
+            ReceivedResponse response = ReceivedResponse.read(slow);
+            assertTrue(response.complete());
+            assertArrayEquals(body, response.body());
         }
     }
 
@@ -338,9 +289,9 @@
                 LoopbackSidecar sidecar = new LoopbackSidecar(upstream);
                 TestClient client = new TestClient(sidecar.runner.address())) {
             client.send(TestClient.request(REQUEST_CLASS, "3.0").replace("HTTP/1.1", "HTTP/1.0"));
-            ReceivedResponse response = read(client.socket.getInputStream());
-            assertFalse(response.head.contains("chunked"), response.head);
-            assertArrayEquals(body, response.body);
+            ReceivedResponse response = ReceivedResponse.read(client.socket.getInputStream());
+            assertFalse(response.head().contains("chunked"), response.head());
+            assertArrayEquals(body, response.body());
         }
     }
 }
