Log why the sidecar closes the connection of an open attempt, with what had arrived

Need: the logs of the incident show RESET and TIMEOUT of attempts, and not which side ended them or what of the answer was held.

upstream_connection.closed tells request id, reason (an enum), whether the request was written, the age of the response's head, its length, the bytes held, and whether reading was paused.

--- a/sidecar/src/main/java/appleridge/http1/ResponseReader.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponseReader.java
@@ -2,6 +2,7 @@
 
 import appleridge.loadbalancing.Outcome;
 import appleridge.request.BufferBudget;
+import appleridge.request.MonotonicClock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Assembles the response to the current request of an upstream connection. A body of up to {@link
@@ -25,8 +27,10 @@
     private final ReadActivityHandler readActivity;
     private final StrictResponseDecoder decoder;
     private final StreamedBody.Source source;
+    private final MonotonicClock clock;
     private BufferBudget.Reservation reservation;
     private long headBytes;
+    private long headAtNanos;
     private HttpResponse head;
     private ByteBuf body;
     private StreamedBody stream;
@@ -42,7 +46,9 @@
     ResponseReader(
             ReadActivityHandler readActivity,
             StrictResponseDecoder decoder,
-            StreamedBody.Source source) {
+            StreamedBody.Source source,
+            MonotonicClock clock) {
+        this.clock = clock;
         this.readActivity = readActivity;
         this.decoder = decoder;
         this.source = source;
@@ -80,6 +86,7 @@
                 return false;
             }
             head = responseHead;
+            headAtNanos = clock.nanoTime();
             body = Unpooled.buffer(0);
         }
         if (head == null && message instanceof LastHttpContent) {
@@ -197,6 +204,21 @@
         return HttpUtil.isKeepAlive(head);
     }
 
+    /** What is known of the response, as fields of a log line. */
+    String logFields(long now) {
+        if (head == null) {
+            return " head=false partial_bytes=" + readActivity.partialMessageBytes();
+        }
+        return " head=true head_age_ms="
+                + TimeUnit.NANOSECONDS.toMillis(now - headAtNanos)
+                + " length="
+                + HttpUtil.getContentLength(head, -1L)
+                + " body_bytes="
+                + (stream != null ? streamedBytes : body.readableBytes())
+                + " streaming="
+                + isStreaming();
+    }
+
     /** Whether the response is streamed. */
     boolean isStreaming() {
         return stream != null;
--- a/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
@@ -37,6 +37,11 @@
         this.listener = listener;
     }
 
+    /** The id that the client gave the request. */
+    String requestId() {
+        return request.headers().get(Headers.REQUEST_ID);
+    }
+
     /** Sets the connect that the attempt waits for. */
     void setConnecting(Connector.ConnectAttempt connect) {
         connecting = connect;
@@ -152,7 +157,9 @@
             if (channel != null) {
                 // close() marks the connection as broken, so that its end cannot make a partial
                 // response look complete.
-                channel.pipeline().get(UpstreamConnection.class).close();
+                channel.pipeline()
+                        .get(UpstreamConnection.class)
+                        .close(UpstreamCloseReason.CANCELLED);
             } else if (connecting != null) {
                 connecting.close();
             }
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -3,6 +3,8 @@
 import appleridge.loadbalancing.Outcome;
 import appleridge.request.BufferBudget;
 import appleridge.request.Endpoint;
+import appleridge.request.LogEvent;
+import appleridge.request.LogText;
 import appleridge.transport.SidecarEventLoop;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -51,8 +53,13 @@
         this.pool = pool;
         this.channel = channel;
         this.readActivity = readActivity;
-        this.writer = new RequestWriter(channel, pool.loop(), this::abort, this::onWriteFailed);
-        this.reader = new ResponseReader(readActivity, decoder, this);
+        this.writer =
+                new RequestWriter(
+                        channel,
+                        pool.loop(),
+                        () -> abort(UpstreamCloseReason.REQUEST_STALLED),
+                        this::onWriteFailed);
+        this.reader = new ResponseReader(readActivity, decoder, this, pool.loop());
         this.readStallNanos = readStallNanos;
     }
 
@@ -104,8 +111,9 @@
         return isUsable();
     }
 
-    void close() {
-        abort();
+    /** Closes the connection, and aborts the attempt on it if there is one. */
+    void close(UpstreamCloseReason reason) {
+        abort(reason);
     }
 
     /** Offers the connection, which has no open request, to the next one. */
@@ -129,7 +137,7 @@
 
     private void onWriteFailed(Throwable cause) {
         reader.onWriteFailed(cause);
-        abort();
+        abort(UpstreamCloseReason.WRITE_FAILED);
     }
 
     @Override
@@ -145,9 +153,9 @@
         }
         // Bytes that belong to no request would be taken as the response to the next one.
         if (call == null || reader.hasOutcome() || message.decoderResult().isFailure()) {
-            abort();
+            abort(UpstreamCloseReason.UNUSABLE_RESPONSE);
         } else if (!reader.onMessage(message, call)) {
-            abort();
+            abort(UpstreamCloseReason.UNUSABLE_RESPONSE);
         }
     }
 
@@ -171,11 +179,33 @@
      * same read after a close: if a part of a body were dropped for its size, a smaller part and
      * the end right behind it would complete a response with a gap.
      */
-    private void abort() {
+    private void abort(UpstreamCloseReason reason) {
+        if (call != null && !broken) {
+            logAborted(reason);
+        }
         broken = true;
         channel.close();
     }
 
+    private void logAborted(UpstreamCloseReason reason) {
+        UpstreamCall aborted = call;
+        pool.log()
+                .event(
+                        LogEvent.UPSTREAM_CONNECTION_CLOSED,
+                        () ->
+                                "id="
+                                        + LogText.id(aborted.requestId())
+                                        + " reason="
+                                        + reason.label()
+                                        + " upstream="
+                                        + endpoint.upstream()
+                                        + " request_written="
+                                        + aborted.isFullyWritten()
+                                        + reader.logFields(pool.loop().nanoTime())
+                                        + " read_paused="
+                                        + readPaused);
+    }
+
     /**
      * Restarts the stall timer, which ends a response that stops arriving on an open connection.
      */
@@ -186,7 +216,8 @@
         }
         if (call != null && readActivity.hasPartialMessage() && !readPaused) {
             long nanos = reader.isStreaming() ? MAX_STREAM_READ_STALL_NANOS : readStallNanos;
-            stallTimer = pool.loop().schedule(nanos, this::abort);
+            stallTimer =
+                    pool.loop().schedule(nanos, () -> abort(UpstreamCloseReason.RESPONSE_STALLED));
         }
     }
 
@@ -215,7 +246,7 @@
             pool.releaseResponse(endpoint, reserved);
         }
         if (call != null && readActivity.hasPartialMessage() && !reader.reservePartialHead()) {
-            abort();
+            abort(UpstreamCloseReason.UNUSABLE_RESPONSE);
         }
         reader.flushStream();
         restartStallTimer();
@@ -243,6 +274,6 @@
         if (!(cause instanceof IOException)) {
             pool.log().failure("connection to " + endpoint + " failed", cause);
         }
-        abort();
+        abort(UpstreamCloseReason.IO_ERROR);
     }
 }
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnectionPool.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnectionPool.java
@@ -169,7 +169,7 @@
                     && loop.nanoTime() - connection.idleSinceNanos() < maxIdleNanos) {
                 return connection;
             }
-            connection.close();
+            closeIdle(connection);
         }
         return null;
     }
@@ -240,7 +240,7 @@
                     unsent,
                     UpstreamConnection::writeBacklog,
                     maxUnsentBytes,
-                    UpstreamConnection::close);
+                    each -> each.close(UpstreamCloseReason.UNSENT_LIMIT));
         }
     }
 
@@ -262,14 +262,14 @@
     public void closeIdleConnections(Endpoint endpoint) {
         ArrayDeque<UpstreamConnection> idleToHost = idle.remove(endpoint);
         if (idleToHost != null) {
-            idleToHost.forEach(UpstreamConnection::close);
+            idleToHost.forEach(each -> each.close(UpstreamCloseReason.UNSENT_LIMIT));
         }
     }
 
     /** Closes idle connections and stops checking for stale ones. */
     public void close() {
         staleCheck.cancel();
-        idle.values().forEach(idleToHost -> idleToHost.forEach(UpstreamConnection::close));
+        idle.values().forEach(idleToHost -> idleToHost.forEach(UpstreamConnectionPool::closeIdle));
         idle.clear();
     }
 
@@ -281,12 +281,16 @@
                             while (!idleToHost.isEmpty()
                                     && now - idleToHost.peekLast().idleSinceNanos()
                                             >= maxIdleNanos) {
-                                idleToHost.pollLast().close();
+                                closeIdle(idleToHost.pollLast());
                             }
                             return idleToHost.isEmpty();
                         });
     }
 
+    private static void closeIdle(UpstreamConnection connection) {
+        connection.close(UpstreamCloseReason.CANCELLED);
+    }
+
     /** Closes the longest idle connection. Returns false if all are in use. */
     private boolean evictIdle() {
         UpstreamConnection oldest = null;
@@ -301,7 +305,7 @@
             return false;
         }
         onClosed(oldest);
-        oldest.close();
+        closeIdle(oldest);
         return true;
     }
 }
--- a/sidecar/src/main/java/appleridge/request/LogEvent.java
+++ b/sidecar/src/main/java/appleridge/request/LogEvent.java
@@ -14,6 +14,8 @@
     REQUESTS_DEFERRED("requests.deferred"),
     /** The sidecar closed a client's connection before the client did. */
     CLIENT_CONNECTION_CLOSED("client_connection.closed"),
+    /** The sidecar closed the connection of an attempt that had not ended. */
+    UPSTREAM_CONNECTION_CLOSED("upstream_connection.closed"),
     /** The sidecar starts to accept new connections, or leaves them in the accept queue. */
     ACCEPT_GATE("accept_gate.changed"),
     /** Bytes were refused to a peer, because too many are buffered. */
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -58,7 +58,7 @@
 
     private static String fields(ClientRequest request, EndReason reason, long nowNanos) {
         return "id="
-                + request.id()
+                + LogText.id(request.id())
                 + " how="
                 + reason.end()
                 + " reason="
@@ -80,7 +80,7 @@
                     LogEvent.ATTEMPT_ENDED,
                     () ->
                             "id="
-                                    + attempt.request().clientRequest().id()
+                                    + LogText.id(attempt.request().clientRequest().id())
                                     + " number="
                                     + attempt.number()
                                     + " upstream="
