RequestCoordinator hands the events of attempts to a class of their own

AttemptEventHandler holds what was the inner class, unchanged. ArchitectureTest, RequestCoordinatorTest and the tests of streamed bodies pass.

--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -1,7 +1,6 @@
 package appleridge.request;
 
 import appleridge.loadbalancing.LoadBalancingPolicy;
-import appleridge.loadbalancing.Outcome;
 import appleridge.loadbalancing.PolicyActions;
 import appleridge.loadbalancing.PolicySettings;
 import appleridge.loadbalancing.RequestInfo;
@@ -32,11 +31,8 @@
  * <p>Event loop only. Times are nanoseconds on the {@link MonotonicClock}.
  */
 public final class RequestCoordinator {
-    private static final float[] NO_LOAD = {};
-
     private final MonotonicClock clock;
     private final PolicySettings settings;
-    private final RequestLog requestLog;
     private final RequestAccounting accounting;
     private final DeferredRequests deferred;
     private final EndpointDirectory endpoints;
@@ -66,7 +62,7 @@
             Function<PolicyActions, LoadBalancingPolicy> policy) {
         this.clock = clock;
         this.settings = settings;
-        this.requestLog = new RequestLog(clock, log);
+        RequestLog requestLog = new RequestLog(clock, log);
         this.accounting = new RequestAccounting(maxOpenRequests, requestLog);
         this.deferred = new DeferredRequests(clock, scheduler, requestLog);
         this.endpoints = new EndpointDirectory(transport);
@@ -75,6 +71,16 @@
                         clock, settings.safetyLimits().drainGraceNanos(), deferred, accounting);
         this.completion = new RequestCompletion(accounting, reconciler, log);
         this.deadlines = new RequestDeadlines(clock, scheduler, settings, accounting, this::expire);
+        this.policyInvoker = new PolicyInvoker(scheduler, log);
+        AttemptEventHandler attemptEvents =
+                new AttemptEventHandler(
+                        clock,
+                        settings,
+                        requestLog,
+                        accounting,
+                        completion,
+                        deadlines,
+                        policyInvoker);
         this.attempts =
                 new AttemptTracker(
                         clock,
@@ -84,8 +90,8 @@
                         endpoints,
                         accounting,
                         reconciler,
-                        new AttemptEvents());
-        this.policyInvoker = new PolicyInvoker(scheduler, log);
+                        attemptEvents);
+        attemptEvents.attach(attempts);
         this.actions = newActions(scheduler, log);
         policyInvoker.setPolicy(policy.apply(actions));
     }
@@ -315,86 +321,4 @@
     public void close() {
         actions.close();
     }
-
-    /** Applies the events of attempts to their requests and passes them to the policy. */
-    private final class AttemptEvents implements AttemptTracker.Listener {
-        /**
-         * From now on the client has a part of this response, so no other response and no further
-         * attempt may follow, even if the rest of it fails.
-         */
-        @Override
-        public boolean onResponseStarted(Attempt attempt, StreamedResponse response) {
-            PendingRequest request = attempt.request();
-            if (attempt.hasEnded()
-                    || !request.isOpen()
-                    || request.isResponseStreaming()
-                    || !request.client().reserveStream()) {
-                return false;
-            }
-            request.responseStreamingStarted(attempt);
-            request.attempts().stream().filter(other -> other != attempt).forEach(attempts::cancel);
-            completion.stream(request, response);
-            notifyStreaming(attempt, clock.nanoTime() - attempt.sentAtNanos());
-            return true;
-        }
-
-        /** The streamed part of a request is not buffered and can't be sent to another host. */
-        @Override
-        public void onRequestStreamingStarted(Attempt attempt) {
-            PendingRequest request = attempt.request();
-            if (request.isOpen()) {
-                request.requestStreamingStarted(attempt);
-                notifyStreaming(attempt, -1);
-            }
-        }
-
-        /** The client's timeout starts once its request is fully sent. */
-        @Override
-        public void onRequestFullyWritten(Attempt attempt) {
-            PendingRequest request = attempt.request();
-            if (request.isOpen() && !request.isResponseStreaming()) {
-                deadlines.scheduleAfterStreaming(request);
-            }
-        }
-
-        private void notifyStreaming(Attempt attempt, long elapsedNanos) {
-            policyInvoker.notify(
-                    policy ->
-                            policy.onResponseStarted(
-                                    clock.nanoTime(),
-                                    attempt.request().id(),
-                                    attempt.number(),
-                                    attempt.upstream(),
-                                    elapsedNanos));
-        }
-
-        /** Notifies the policy of the end of each attempt once, even if the request has ended. */
-        @Override
-        public void onAttemptEnded(Attempt attempt, Outcome outcome, UpstreamResponse response) {
-            requestLog.ended(attempt, outcome);
-            PendingRequest request = attempt.request();
-            request.recordOutcome(outcome);
-            if (request.isOpen()) {
-                completion.attemptEnded(attempt, outcome, response);
-            }
-            float[] load =
-                    response == null ? NO_LOAD : response.loadReport(settings.loadReportFields());
-            policyInvoker.notify(policy -> notifyEnded(policy, attempt, outcome, load));
-            accounting.attemptEnded(request);
-        }
-
-        private void notifyEnded(
-                LoadBalancingPolicy policy, Attempt attempt, Outcome outcome, float[] load) {
-            long now = clock.nanoTime();
-            policy.onAttemptEnded(
-                    now,
-                    attempt.request().id(),
-                    attempt.number(),
-                    attempt.upstream(),
-                    outcome,
-                    now - attempt.sentAtNanos(),
-                    !attempt.request().isOpen(),
-                    load);
-        }
-    }
 }
