Long answers are no longer cut off at a pause or at the client's time while they are held

Callers saw 504, 502 or 503 in place of answers of more than 64 KiB that servers were still writing: at the request's time, or 250 ms into a pause. Cause: an answer was held until 64 KiB had come, while the deadline and the limit on pauses ran on as for short ones. Class of fault: a limit in time that runs against one side while the other is what waits.

An answer that is, or may be, beyond 64 KiB is held for a retry for 0.5 s at most and until 20 ms ahead of the deadline, then passed on. One without a length that stops is ended after 1.2 s without a byte.

--- a/sidecar/src/main/java/appleridge/http1/MessageFraming.java
+++ b/sidecar/src/main/java/appleridge/http1/MessageFraming.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 
@@ -17,6 +18,8 @@
     /** The longest body that is buffered whole. Requests with a longer body cannot be retried. */
     static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
 
+    private static final int MIN_BUFFER_CAPACITY = 256;
+
     /** The maximum number of header lines of a message. */
     static final int MAX_HEADER_LINES = 100;
 
@@ -42,6 +45,17 @@
                 .setTrailersFactory(new LimitedTrailers());
     }
 
+    /**
+     * Returns the new capacity of a buffer for a body: the doubled one, but not beyond the length
+     * of the body if that is known, and at least what is needed.
+     */
+    static int bufferCapacity(int capacity, int needed, HttpMessage message) {
+        long length = HttpUtil.getContentLength(message, (long) MAX_BUFFERED_BODY_BYTES);
+        long most = Math.min(length, MAX_BUFFERED_BODY_BYTES);
+        long doubled = Math.max(MIN_BUFFER_CAPACITY, 2L * capacity);
+        return (int) Math.max(needed, Math.min(doubled, most));
+    }
+
     /** Marks a message as malformed. */
     private static HttpMessage malformed(HttpMessage message) {
         message.setDecoderResult(
--- a/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * The request that is being received on one client connection, and the reservation of its bytes.
@@ -18,8 +17,6 @@
     /** What an open request needs beside its head and body: its state here and in the policy. */
     private static final int REQUEST_STATE_BYTES = 1024;
 
-    private static final int MIN_BODY_CAPACITY = 256;
-
     private final BufferBudget.Account account;
 
     /** Null if and only if the head is. */
@@ -101,7 +98,7 @@
     }
 
     private boolean grow(int needed) {
-        int capacity = newCapacity(needed);
+        int capacity = MessageFraming.bufferCapacity(body.capacity(), needed, head);
         if (!reservation.resize(headBytes + capacity)) {
             return false;
         }
@@ -109,14 +106,6 @@
         return true;
     }
 
-    /** Doubles the capacity, but not beyond the length of the body if that is known. */
-    private int newCapacity(int needed) {
-        long length =
-                HttpUtil.getContentLength(head, (long) MessageFraming.MAX_BUFFERED_BODY_BYTES);
-        long doubled = Math.max(MIN_BODY_CAPACITY, 2L * body.capacity());
-        return (int) Math.max(needed, Math.min(doubled, length));
-    }
-
     /** Takes the complete request out. */
     Complete takeComplete() {
         byte[] content =
--- a/sidecar/src/main/java/appleridge/http1/ResponseReader.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponseReader.java
@@ -18,11 +18,17 @@
 /**
  * Assembles the response to the current request of an upstream connection. A body of up to {@link
  * MessageFraming#MAX_BUFFERED_BODY_BYTES} is buffered whole; a longer one of a response with status
- * 200 is streamed. Event loop only.
+ * 200 is streamed, and so is one that may be longer once it has been held for as long as it may be.
+ * Event loop only.
  */
 final class ResponseReader {
     private static final byte[] NO_BODY = {};
-    private static final int MIN_BODY_CAPACITY = 256;
+
+    /**
+     * How long a response that may exceed the buffer is held after its head, so that it can be
+     * retried if it breaks. Well below the 2 s for which a long response may be held back.
+     */
+    private static final long MAX_HOLD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
     private final ReadActivityHandler readActivity;
     private final StrictResponseDecoder decoder;
@@ -153,8 +159,7 @@
     private boolean buffer(ByteBuf part) {
         int needed = body.readableBytes() + part.readableBytes();
         if (needed > body.capacity()) {
-            int capacity = Math.max(needed, Math.max(MIN_BODY_CAPACITY, 2 * body.capacity()));
-            capacity = Math.min(capacity, MessageFraming.MAX_BUFFERED_BODY_BYTES);
+            int capacity = MessageFraming.bufferCapacity(body.capacity(), needed, head);
             if (!reservation.resize(headBytes + capacity)) {
                 return false;
             }
@@ -164,6 +169,41 @@
         return true;
     }
 
+    /**
+     * Whether the response may be too long to be buffered: its length says so, or is not known. It
+     * must not be aborted for being slow, because its upstream may still be writing it.
+     */
+    boolean mayExceedBuffer() {
+        if (head == null || isStreaming() || hasOutcome() || head.status().code() != 200) {
+            return false;
+        }
+        long length = HttpUtil.getContentLength(head, -1L);
+        return length < 0 || length > MessageFraming.MAX_BUFFERED_BODY_BYTES;
+    }
+
+    /** Whether the response is longer than what is buffered, by its length or by what has come. */
+    boolean isKnownToExceedBuffer() {
+        return HttpUtil.getContentLength(head, -1L) > MessageFraming.MAX_BUFFERED_BODY_BYTES
+                || streamedBytes > MessageFraming.MAX_BUFFERED_BODY_BYTES;
+    }
+
+    /** Until when a response that may exceed the buffer is held: as long as it can be retried. */
+    long holdUntilNanos(UpstreamCall call) {
+        return Math.min(headAtNanos + MAX_HOLD_NANOS, call.firstBytesByNanos());
+    }
+
+    /**
+     * Streams a response that {@link #mayExceedBuffer} from now on, beginning with what is held of
+     * it. Returns false if that is not possible.
+     */
+    boolean streamHeld(UpstreamCall call) {
+        if (!mayExceedBuffer() || !startStream(call)) {
+            return false;
+        }
+        flushStream();
+        return true;
+    }
+
     /** Reserves memory for a head that has arrived in part. Returns false at the limit. */
     boolean reservePartialHead() {
         return head != null
--- a/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
@@ -20,6 +20,15 @@
      */
     private static final long MIN_REMAINING_NANOS = 1_000_000;
 
+    /**
+     * How long before the deadline the first bytes of a long response are passed on: ahead of the
+     * timers that end the request at its deadline.
+     */
+    private static final long FIRST_BYTES_MARGIN_NANOS = 20_000_000;
+
+    /** How late a final response may be: a client waits half a second beyond its timeout. */
+    private static final long MAX_LATENESS_NANOS = 450_000_000;
+
     private final HttpUpstreamRequest request;
     private final SendDeadlines deadlines;
     private final UpstreamTransport.AttemptListener listener;
@@ -72,6 +81,16 @@
         return deadlines.lastByteByNanos() < Long.MAX_VALUE;
     }
 
+    /** When the first bytes of a long response are passed on at the latest. */
+    long firstBytesByNanos() {
+        return deadlines.responseByNanos() - FIRST_BYTES_MARGIN_NANOS;
+    }
+
+    /** When the end of a short response must have been passed on, even if it comes late. */
+    long lateResponseByNanos() {
+        return deadlines.responseByNanos() + MAX_LATENESS_NANOS;
+    }
+
     /** Whether the last byte may still be written. */
     boolean mayWriteLastByte(long now) {
         return now <= deadlines.lastByteByNanos() && !ended;
@@ -136,6 +155,15 @@
         return fullyWritten;
     }
 
+    @Override
+    public boolean streamHeldResponse() {
+        return !ended && channel != null && connection().streamHeldResponse();
+    }
+
+    private UpstreamConnection connection() {
+        return channel.pipeline().get(UpstreamConnection.class);
+    }
+
     /** Starts a streamed response. Returns false if it is not wanted any more. */
     boolean startResponseStream(StreamedBody body) {
         return !ended && listener.onResponseStarted(body);
@@ -157,9 +185,7 @@
             if (channel != null) {
                 // close() marks the connection as broken, so that its end cannot make a partial
                 // response look complete.
-                channel.pipeline()
-                        .get(UpstreamConnection.class)
-                        .close(UpstreamCloseReason.CANCELLED);
+                connection().close(UpstreamCloseReason.CANCELLED);
             } else if (connecting != null) {
                 connecting.close();
             }
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnection.java
@@ -26,6 +26,13 @@
      */
     static final long MAX_STREAM_READ_STALL_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+    /**
+     * How long a streamed response may stall that may still turn out to be short. A client waits
+     * for the end of a short response, so that it is told soon that none comes.
+     */
+    private static final long MAX_SHORT_STREAM_READ_STALL_NANOS =
+            TimeUnit.MILLISECONDS.toNanos(1200);
+
     private final UpstreamConnectionPool pool;
     private final Channel channel;
     private final ReadActivityHandler readActivity;
@@ -207,20 +214,57 @@
     }
 
     /**
-     * Restarts the stall timer, which ends a response that stops arriving on an open connection.
+     * Restarts the stall timer, which ends a response that stops arriving on an open connection. A
+     * response that may be too long to be buffered is streamed instead.
      */
     private void restartStallTimer() {
         if (stallTimer != null) {
             stallTimer.cancel();
             stallTimer = null;
         }
-        if (call != null && readActivity.hasPartialMessage() && !readPaused) {
-            long nanos = reader.isStreaming() ? MAX_STREAM_READ_STALL_NANOS : readStallNanos;
+        if (call == null || readPaused || !readActivity.hasPartialMessage()) {
+            return;
+        }
+        if (reader.mayExceedBuffer()) {
             stallTimer =
-                    pool.loop().schedule(nanos, () -> abort(UpstreamCloseReason.RESPONSE_STALLED));
+                    pool.loop()
+                            .scheduleAt(reader.holdUntilNanos(call), this::streamOrAbortResponse);
+        } else {
+            stallTimer =
+                    pool.loop()
+                            .scheduleAt(
+                                    stalledAtNanos(pool.loop().nanoTime()),
+                                    () -> abort(UpstreamCloseReason.RESPONSE_STALLED));
         }
     }
 
+    /** When a response has stalled if nothing arrives from now on. */
+    private long stalledAtNanos(long now) {
+        if (!reader.isStreaming()) {
+            return now + readStallNanos;
+        }
+        return reader.isKnownToExceedBuffer()
+                ? now + MAX_STREAM_READ_STALL_NANOS
+                : Math.max(now + MAX_SHORT_STREAM_READ_STALL_NANOS, call.lateResponseByNanos());
+    }
+
+    private void streamOrAbortResponse() {
+        if (!streamHeldResponse()) {
+            abort(UpstreamCloseReason.UNUSABLE_RESPONSE);
+        }
+    }
+
+    /**
+     * Streams a long response that is held for a retry from now on. Returns false if there is none.
+     */
+    boolean streamHeldResponse() {
+        if (call == null || broken || !reader.streamHeld(call)) {
+            return false;
+        }
+        restartStallTimer();
+        return true;
+    }
+
     /**
      * Ends the attempt and offers the connection for reuse, but only after all available input has
      * been read: bytes after a response must not be taken as the response to the next request.
--- a/sidecar/src/main/java/appleridge/request/Attempt.java
+++ b/sidecar/src/main/java/appleridge/request/Attempt.java
@@ -115,6 +115,11 @@
         handle.cancel();
     }
 
+    /** Streams a response that is held for a retry; returns false if there is none. */
+    boolean streamHeldResponse() {
+        return isCancellable() && handle.streamHeldResponse();
+    }
+
     /** Whether the host may have executed the request. */
     boolean mayHaveExecuted() {
         return hasEnded() ? !outcome.provesNotExecuted() : isFullyWritten();
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -286,9 +286,16 @@
                 false);
     }
 
-    /** Expires a request whose time is up and which the policy has not ended. */
+    /**
+     * Expires a request whose time is up and which the policy has not ended. A long response that
+     * is held for a retry is streamed instead.
+     */
     private void expire(PendingRequest request) {
         reconciler.reconcile();
+        if (request.isUncommitted()
+                && request.attempts().stream().anyMatch(Attempt::streamHeldResponse)) {
+            return;
+        }
         if (request.isOpen()) {
             completion.fail(request, EndReason.DEADLINE_EXCEEDED);
         }
--- a/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
+++ b/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
@@ -15,9 +15,9 @@
         default void onConnected() {}
 
         /**
-         * The first part of a successful response that is too long to be buffered has arrived. If
-         * the response is streamed, {@link SendDeadlines#responseByNanos} no longer applies and
-         * {@link #onAttemptEnded} reports OK only after the last byte.
+         * The first part of a successful response that is, or may be, too long to be buffered has
+         * arrived. If the response is streamed, {@link SendDeadlines#responseByNanos} no longer
+         * applies and {@link #onAttemptEnded} reports OK only after the last byte.
          *
          * @return whether to stream the response; if false, the attempt is aborted
          */
@@ -50,6 +50,16 @@
          */
         boolean isFullyWritten();
 
+        /**
+         * Streams a response that may be too long to be buffered and is held for a retry. Calls
+         * {@link AttemptListener#onResponseStarted} before it returns.
+         *
+         * @return false if there is no such response, or it can't be streamed
+         */
+        default boolean streamHeldResponse() {
+            return false;
+        }
+
         /** Cancels the attempt: no more is written, and its listener is not called again. */
         void cancel();
     }
--- a/testbed/src/main/java/appleridge/testbed/invariants/RequestStates.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/RequestStates.java
@@ -167,6 +167,18 @@
         return clientConnections.get(request.client.id()).closedAt;
     }
 
+    @Override
+    public long answerBegunAt(String id) {
+        TrackedRequest request = requests.get(id);
+        return request == null ? AttemptRecord.NEVER : request.answerBegunAt;
+    }
+
+    @Override
+    public long lastAnswerReadAt(String id) {
+        TrackedRequest request = requests.get(id);
+        return request == null ? AttemptRecord.NEVER : request.lastAnswerReadAt;
+    }
+
     private void enter(TrackedRequest request, RequestState state) {
         if (request.state == state && state != RequestState.ARRIVING) {
             return;
@@ -288,6 +300,7 @@
             if (answerBegins && !connection.answerScan.isInterim()) {
                 for (TrackedRequest each : connection.open) {
                     if (!each.answerBegun()) {
+                        each.answerBegunAt = sidecar.host().localNow();
                         enter(each, RequestState.ANSWERED);
                         break;
                     }
@@ -344,6 +357,14 @@
         enter(request, request.stateOfAttempt(RequestState.WRITING));
     }
 
+    @Override
+    public void read(SimSocket by, byte[] bytes, int offset, int length) {
+        ServerConnection connection = by.isServerEnd() ? null : serverConnections.get(by.id());
+        if (connection != null && connection.tracked != null) {
+            connection.tracked.lastAnswerReadAt = by.host().localNow();
+        }
+    }
+
     private void serverWrites(SimSocket server) {
         ServerConnection connection = serverConnections.get(server.id());
         if (connection != null
--- a/testbed/src/main/java/appleridge/testbed/invariants/SocketObserver.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/SocketObserver.java
@@ -17,6 +17,12 @@
     /** Returns when the sidecar's process accepted the connection; -1 if it has not. */
     long acceptedAt(String id);
 
+    /** Returns when the sidecar began to write the answer to the client; -1 before that. */
+    long answerBegunAt(String id);
+
+    /** Returns when the sidecar last read a part of a server's answer; -1 before that. */
+    long lastAnswerReadAt(String id);
+
     /** Returns when the client's end of the connection was closed or reset; -1 while it is open. */
     long closedAt(String id);
 }
--- a/testbed/src/main/java/appleridge/testbed/invariants/TrackedRequest.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/TrackedRequest.java
@@ -19,6 +19,12 @@
      */
     long endsAt = -1;
 
+    /** When the sidecar last read a part of an answer; NEVER before that. */
+    long lastAnswerReadAt = AttemptRecord.NEVER;
+
+    /** When the sidecar began to write the answer to the client; NEVER before that. */
+    long answerBegunAt = AttemptRecord.NEVER;
+
     int attempts;
 
     /** The server that the module has named for the latest attempt. */
--- a/testbed/src/test/java/appleridge/testbed/invariants/CheckerFixture.java
+++ b/testbed/src/test/java/appleridge/testbed/invariants/CheckerFixture.java
@@ -9,6 +9,12 @@
 
 /** A checker with a manual clock, a running sidecar, and sockets and counts that the test sets. */
 final class CheckerFixture implements SocketObserver, LoopLoad, ResourceProbe {
+    /** When the sidecar began to write the answer of every request; -1 before that. */
+    long answerBegunAt = -1;
+
+    /** When the sidecar last read a part of an answer to any request; -1 before that. */
+    long lastAnswerReadAt = -1;
+
     static final long MS = TimeSpans.MS;
     static final long S = TimeSpans.SECOND;
     static final String SIDECAR = "side-0";
@@ -105,6 +111,16 @@
         return serverConnections;
     }
 
+    @Override
+    public long answerBegunAt(String id) {
+        return answerBegunAt;
+    }
+
+    @Override
+    public long lastAnswerReadAt(String id) {
+        return lastAnswerReadAt;
+    }
+
     @Override
     public long closedAt(String id) {
         return closeTimes.getOrDefault(id, -1L);
--- a/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
+++ b/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
@@ -206,4 +206,47 @@
         fixture.after(1);
         assertEquals(List.of(Rule.LATE), fixture.rules());
     }
+
+    /** The rest of an answer that began in time comes as late as its server writes it. */
+    @Test
+    void restOfAnAnswerThatBeganInTimeFollowsItsServer() {
+        fixture.answerBegunAt = DUE;
+        fixture.lastAnswerReadAt = DUE + S;
+        accepted();
+        answeredAt(DUE + S + 80 * MS);
+        assertEquals(List.of(), fixture.rules());
+    }
+
+    /** An answer that began in time is not held back once its server has written it. */
+    @Test
+    void restOfAnAnswerThatIsHeldBackIsLate() {
+        fixture.answerBegunAt = DUE;
+        fixture.lastAnswerReadAt = DUE + S;
+        accepted();
+        answeredAt(DUE + S + 80 * MS + 1);
+        assertEquals(List.of(Rule.LATE), fixture.rules());
+    }
+
+    /** A server that stops in the middle of an answer frees the sidecar for a while only. */
+    @Test
+    void answerThatItsServerNeverEndsIsLateAfterThePauseThatIsAllowed() {
+        fixture.answerBegunAt = DUE;
+        fixture.lastAnswerReadAt = S + 100 * MS;
+        accepted();
+        long limit = S + (100 + 1300 + 80 + 5) * MS;
+        fixture.at(limit);
+        assertEquals(List.of(), fixture.rules());
+        fixture.after(1);
+        assertEquals(List.of(Rule.LATE), fixture.rules());
+    }
+
+    /** Nothing extends the limit of an answer that began too late. */
+    @Test
+    void answerThatBeganTooLateIsLate() {
+        fixture.answerBegunAt = DUE + 1;
+        fixture.lastAnswerReadAt = DUE;
+        accepted();
+        answeredAt(DUE + 2);
+        assertEquals(List.of(Rule.LATE), fixture.rules());
+    }
 }
