The time of a long request runs while its upstream does not read it

Callers got the final answer of a long request seconds after its time, or when its server had read nothing for 10 s; a process waited for such requests up to 10 s after SIGTERM, also where the client had left. Cause: the client's time began when the last byte was with the server. Class: a limit in time that does not run against the side that is waited for.

The time counts from the last moment at which the client is known not to have sent its last byte (UploadTracker). At its end the request is rejected if its last byte was not written, else failed; the end of a shutdown ends it too. The rest of the body is discarded for as long as the connection lingers, so that the response is not lost in a reset. The system's send buffer to a server is 256 KiB for long requests. request.ended tells upload_complete, upstream_wait_ms and client_time_ms.

--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -4,6 +4,7 @@
 import appleridge.request.BufferKind;
 import appleridge.request.ResponseSink;
 import appleridge.request.StreamedResponse;
+import appleridge.request.UploadProgress;
 import appleridge.request.UpstreamResponse;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -32,6 +33,10 @@
     private FullHttpResponse response;
     private StreamedBody responseStream;
     private StreamedBody upload;
+
+    /** Null if and only if the upload is. */
+    private UploadTracker uploadTracker;
+
     private boolean streamStarted;
     private boolean streamComplete;
     private boolean closeAfterStream;
@@ -65,8 +70,19 @@
     }
 
     /** Sets the streamed request body. */
-    void setUpload(StreamedBody body) {
+    void setUpload(StreamedBody body, UploadTracker tracker) {
         upload = body;
+        uploadTracker = tracker;
+    }
+
+    /** Tracks how far the streamed request body has arrived; null if it was buffered whole. */
+    UploadTracker uploadTracker() {
+        return uploadTracker;
+    }
+
+    @Override
+    public UploadProgress uploadProgress() {
+        return uploadTracker.progress();
     }
 
     /** The streamed request body; null if the body was buffered whole. */
--- a/sidecar/src/main/java/appleridge/http1/LingeringClose.java
+++ b/sidecar/src/main/java/appleridge/http1/LingeringClose.java
@@ -34,6 +34,15 @@
         readActivity.discardInput();
     }
 
+    /**
+     * Discards all further input, among it the rest of a request that its client is still sending.
+     * The client reads the response only after it has sent the rest.
+     */
+    void closeInputInUpload() {
+        inputClosed = true;
+        readActivity.discardUpload();
+    }
+
     /** Records that the connection has closed. */
     void onChannelInactive() {
         inputClosed = true;
--- a/sidecar/src/main/java/appleridge/http1/MessageFraming.java
+++ b/sidecar/src/main/java/appleridge/http1/MessageFraming.java
@@ -1,5 +1,6 @@
 package appleridge.http1;
 
+import appleridge.request.BufferBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -46,14 +47,33 @@
     }
 
     /**
-     * Returns the new capacity of a buffer for a body: the doubled one, but not beyond the length
-     * of the body if that is known, and at least what is needed.
+     * Grows the buffer of a message's body if necessary: to twice its capacity, but not beyond the
+     * length of the body if that is known, or else to what is needed. Returns false if the
+     * reservation allows neither.
+     *
+     * @param headBytes what is reserved for the head of the message
      */
-    static int bufferCapacity(int capacity, int needed, HttpMessage message) {
+    static boolean reserveBody(
+            ByteBuf body,
+            int needed,
+            HttpMessage message,
+            long headBytes,
+            BufferBudget.Reservation reservation) {
+        if (needed <= body.capacity()) {
+            return true;
+        }
         long length = HttpUtil.getContentLength(message, (long) MAX_BUFFERED_BODY_BYTES);
         long most = Math.min(length, MAX_BUFFERED_BODY_BYTES);
-        long doubled = Math.max(MIN_BUFFER_CAPACITY, 2L * capacity);
-        return (int) Math.max(needed, Math.min(doubled, most));
+        long doubled = Math.max(MIN_BUFFER_CAPACITY, 2L * body.capacity());
+        int capacity = (int) Math.max(needed, Math.min(doubled, most));
+        if (!reservation.resize(headBytes + capacity)) {
+            capacity = needed;
+            if (!reservation.resize(headBytes + capacity)) {
+                return false;
+            }
+        }
+        body.capacity(capacity);
+        return true;
     }
 
     /** Marks a message as malformed. */
--- a/sidecar/src/main/java/appleridge/http1/ReadActivityHandler.java
+++ b/sidecar/src/main/java/appleridge/http1/ReadActivityHandler.java
@@ -19,8 +19,11 @@
     private boolean hasPartialMessage;
     private long partialMessageBytes;
     private boolean delivering;
+    private int readsInEvent;
+    private boolean readLimitReached;
     private boolean discarding;
     private long discardedBytes;
+    private long maxDiscardedBytes = MAX_DISCARDED_BYTES;
 
     /** Whether bytes of an incomplete message have been read. */
     boolean hasPartialMessage() {
@@ -47,18 +50,30 @@
         return delivering;
     }
 
+    /** Whether the last event left input unread, because it made as many reads as it may. */
+    boolean hasReachedReadLimit() {
+        return readLimitReached;
+    }
+
     /** Discards all further input. */
     void discardInput() {
         discarding = true;
     }
 
+    /** Discards all further input, which may be as long as a request. */
+    void discardUpload() {
+        discarding = true;
+        maxDiscardedBytes = MessageFraming.MAX_STREAMED_BODY_BYTES;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         delivering = true;
+        readsInEvent++;
         if (discarding) {
             discardedBytes += ((ByteBuf) message).readableBytes();
             ReferenceCountUtil.release(message);
-            if (discardedBytes > MAX_DISCARDED_BYTES) {
+            if (discardedBytes > maxDiscardedBytes) {
                 ctx.close();
             }
             return;
@@ -71,6 +86,8 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         delivering = false;
+        readLimitReached = readsInEvent >= StreamedBody.MAX_READS_PER_EVENT;
+        readsInEvent = 0;
         ctx.fireChannelReadComplete();
     }
 }
--- a/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
@@ -87,7 +87,7 @@
     /** Appends a part of the body; at the limit, drops what there is of it. */
     void append(ByteBuf part) {
         int needed = body.readableBytes() + part.readableBytes();
-        if (!overLimit && needed > body.capacity() && !grow(needed)) {
+        if (!overLimit && !MessageFraming.reserveBody(body, needed, head, headBytes, reservation)) {
             dropBody();
         }
         if (overLimit) {
@@ -97,15 +97,6 @@
         }
     }
 
-    private boolean grow(int needed) {
-        int capacity = MessageFraming.bufferCapacity(body.capacity(), needed, head);
-        if (!reservation.resize(headBytes + capacity)) {
-            return false;
-        }
-        body.capacity(capacity);
-        return true;
-    }
-
     /** Takes the complete request out. */
     Complete takeComplete() {
         byte[] content =
--- a/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
@@ -58,6 +58,11 @@
         return parsed.withMessage(message.withReservation(reservation));
     }
 
+    /** The earliest time at which input that is read now may have arrived. */
+    long earliestArrivalNanos() {
+        return listener.coordinator().earliestArrivalNanos();
+    }
+
     /** Rejects a request of which not all has been read, because too many bytes are buffered. */
     void rejectForBufferLimit(HttpRequest head, ClientExchange exchange) {
         try {
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -211,16 +211,23 @@
         HttpRequest head = request.head();
         activity.onRequestReceived();
         ClientExchange exchange = newExchange(head);
-        exchange.setUpload(
-                new StreamedBody(head.headers(), HttpUtil.getContentLength(head, -1L), this));
-        uploading = exchange;
+        long length = HttpUtil.getContentLength(head, -1L);
         uploadedBytes = request.receivedPart().readableBytes();
+        UploadTracker tracker =
+                new UploadTracker(
+                        connection.loop(),
+                        channel,
+                        length - uploadedBytes,
+                        dispatcher.earliestArrivalNanos());
+        exchange.setUpload(new StreamedBody(head.headers(), length, this), tracker);
+        uploading = exchange;
         dispatcher.dispatchUpload(request, exchange, activity.stateSinceNanos());
     }
 
     private void upload(HttpContent content) {
         ClientExchange exchange = uploading;
         uploadedBytes += content.content().readableBytes();
+        exchange.uploadTracker().onRead(content.content().readableBytes());
         if (uploadedBytes > MessageFraming.MAX_STREAMED_BODY_BYTES) {
             abortUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
             return;
@@ -278,12 +285,18 @@
     @Override
     public void pause() {
         activity.onReadPaused();
+        if (uploading != null) {
+            uploading.uploadTracker().onPaused();
+        }
         channel.config().setAutoRead(false);
     }
 
     @Override
     public void resume() {
         activity.onReadResumed();
+        if (uploading != null) {
+            uploading.uploadTracker().onResumed();
+        }
         channel.config().setAutoRead(true);
     }
 
@@ -293,6 +306,7 @@
         activity.onReadComplete();
         if (uploading != null) {
             uploading.upload().flush();
+            uploading.uploadTracker().onReadComplete(!readActivity.hasReachedReadLimit());
         } else if (readActivity.hasPartialMessage()) {
             activity.onRequestStarted();
         }
--- a/sidecar/src/main/java/appleridge/http1/RequestWriter.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestWriter.java
@@ -4,6 +4,7 @@
 import appleridge.transport.SidecarEventLoop;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,6 +59,7 @@
             return;
         }
         channel.config().setWriteBufferWaterMark(StreamedBody.WRITE_BUFFER_WATER_MARK);
+        channel.config().setOption(ChannelOption.SO_SNDBUF, StreamedBody.SEND_BUFFER_BYTES);
         channel.write(call.startStreamed(channel, endpoint, loop.nanoTime()));
         upload = call.streamedBody();
         loop.execute(call::notifyStreamingStarted);
@@ -77,9 +79,6 @@
                         return;
                     }
                     call.onLastByteWritten();
-                    if (call.streamedBody() != null) {
-                        loop.execute(call::notifyFullyWritten);
-                    }
                 });
     }
 
--- a/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
@@ -19,9 +19,6 @@
  * in the same order, as HTTP/1.1 pipelining requires. Event loop only.
  */
 final class ResponsePipeline {
-    /** The size of the kernel's send buffer while a response is streamed. */
-    private static final int STREAM_SEND_BUFFER_BYTES = 256 << 10;
-
     private final ClientConnection connection;
     private final ClientListener listener;
     private final Channel channel;
@@ -103,6 +100,7 @@
         backlog.track(written);
         activity.onResponseActivity();
         if (uploadIncomplete) {
+            closing.closeInputInUpload();
             connection.onUploadAbandoned();
             exchange.upload().discard();
         }
@@ -150,9 +148,7 @@
         } else if (chunked) {
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
-        // The kernel would grow the send buffer by default, so that a slow client would show no
-        // progress for seconds and be taken for a stalled one.
-        channel.config().setOption(ChannelOption.SO_SNDBUF, STREAM_SEND_BUFFER_BYTES);
+        channel.config().setOption(ChannelOption.SO_SNDBUF, StreamedBody.SEND_BUFFER_BYTES);
         channel.config().setWriteBufferWaterMark(StreamedBody.WRITE_BUFFER_WATER_MARK);
         channel.write(head);
         body.attachTo(channel);
--- a/sidecar/src/main/java/appleridge/http1/ResponseReader.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponseReader.java
@@ -158,12 +158,8 @@
 
     private boolean buffer(ByteBuf part) {
         int needed = body.readableBytes() + part.readableBytes();
-        if (needed > body.capacity()) {
-            int capacity = MessageFraming.bufferCapacity(body.capacity(), needed, head);
-            if (!reservation.resize(headBytes + capacity)) {
-                return false;
-            }
-            body.capacity(capacity);
+        if (!MessageFraming.reserveBody(body, needed, head, headBytes, reservation)) {
+            return false;
         }
         body.writeBytes(part);
         return true;
--- a/sidecar/src/main/java/appleridge/http1/StreamedBody.java
+++ b/sidecar/src/main/java/appleridge/http1/StreamedBody.java
@@ -31,6 +31,16 @@
     static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
             new WriteBufferWaterMark(16 << 10, 32 << 10);
 
+    /**
+     * The size of the kernel's send buffer of the target. The kernel would grow it by default: a
+     * slow reader would show no progress for seconds, and a request that its upstream has not read
+     * would count as written.
+     */
+    static final int SEND_BUFFER_BYTES = 256 << 10;
+
+    /** The number of reads of one connection before the event loop turns to the others. */
+    static final int MAX_READS_PER_EVENT = 16;
+
     private static final int MIN_READ_BYTES = 64;
     private static final int INITIAL_READ_BYTES = 2048;
     private static final int MAX_READ_BYTES = 32 << 10;
@@ -65,7 +75,8 @@
      * The allocator for connections that receive long bodies. Bounded, because reads are buffered.
      */
     static RecvByteBufAllocator readAllocator() {
-        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+        return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                .maxMessagesPerRead(MAX_READS_PER_EVENT);
     }
 
     HttpHeaders headers() {
--- a/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
@@ -127,16 +127,6 @@
         }
     }
 
-    /**
-     * Notifies the listener that the last byte of a streamed request has been written. Must run
-     * after {@link #notifyStreamingStarted}.
-     */
-    void notifyFullyWritten() {
-        if (!ended) {
-            listener.onRequestFullyWritten();
-        }
-    }
-
     /**
      * Records that the last byte has been written to the socket: the upstream may now run the
      * request.
--- a/sidecar/src/main/java/appleridge/request/AttemptEventHandler.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptEventHandler.java
@@ -67,19 +67,11 @@
         PendingRequest request = attempt.request();
         if (request.isOpen()) {
             request.requestStreamingStarted(attempt);
+            deadlines.scheduleForStreaming(request);
             notifyStreaming(attempt, -1);
         }
     }
 
-    /** The client's timeout starts once its request is fully sent. */
-    @Override
-    public void onRequestFullyWritten(Attempt attempt) {
-        PendingRequest request = attempt.request();
-        if (request.isOpen() && !request.isResponseStreaming()) {
-            deadlines.scheduleAfterStreaming(request);
-        }
-    }
-
     private void notifyStreaming(Attempt attempt, long elapsedNanos) {
         policyInvoker.notify(
                 policy ->
--- a/sidecar/src/main/java/appleridge/request/AttemptTracker.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptTracker.java
@@ -25,9 +25,6 @@
         /** The first part of a request that is too long to be buffered is being sent. */
         void onRequestStreamingStarted(Attempt attempt);
 
-        /** The last byte of a streamed request has been passed to the socket. */
-        void onRequestFullyWritten(Attempt attempt);
-
         /** The attempt has ended; {@code response} is null if none was read. */
         void onAttemptEnded(Attempt attempt, Outcome outcome, UpstreamResponse response);
     }
@@ -229,12 +226,6 @@
             listener.onRequestStreamingStarted(attempt);
         }
 
-        @Override
-        public void onRequestFullyWritten() {
-            reconciler.reconcile();
-            listener.onRequestFullyWritten(attempt);
-        }
-
         @Override
         public void onAttemptEnded(Outcome outcome, UpstreamResponse response) {
             reconciler.reconcile();
--- a/sidecar/src/main/java/appleridge/request/RequestCompletion.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCompletion.java
@@ -38,6 +38,21 @@
         respond(request, () -> request.client().onFailed(reason.failureCause()));
     }
 
+    /**
+     * Ends an open request whose time is up. A streamed request of which the last byte is not
+     * written, and never will be, is not executed: it is rejected.
+     */
+    void expire(PendingRequest request) {
+        boolean unfinished =
+                request.isRequestStreaming()
+                        && request.attempts().stream().noneMatch(Attempt::mayHaveExecuted);
+        if (unfinished) {
+            reject(request, EndReason.STREAMED_REQUEST_NOT_EXECUTED, 0);
+        } else {
+            fail(request, EndReason.DEADLINE_EXCEEDED);
+        }
+    }
+
     /** Starts to stream the response to the client. */
     void stream(PendingRequest request, StreamedResponse response) {
         respond(request, () -> request.client().onResponseStreaming(response));
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -297,7 +297,7 @@
             return;
         }
         if (request.isOpen()) {
-            completion.fail(request, EndReason.DEADLINE_EXCEEDED);
+            completion.expire(request);
         }
         releaseAttempts(request);
         policyInvoker.notify(policy -> policy.onClientDisconnected(clock.nanoTime(), request.id()));
--- a/sidecar/src/main/java/appleridge/request/RequestDeadlines.java
+++ b/sidecar/src/main/java/appleridge/request/RequestDeadlines.java
@@ -49,12 +49,15 @@
 
     /** Returns the time by which a request needs its response for the client to get it in time. */
     long deadlineNanos(ClientRequest request) {
+        return deadlineNanos(request, request.arrivedAtNanos());
+    }
+
+    private long deadlineNanos(ClientRequest request, long startNanos) {
         long margin =
                 Math.min(
                         settings.clockGranularityNanos(),
                         request.timeoutNanos() / MAX_MARGIN_DIVISOR);
-        return Math.min(
-                shutdownDeadlineNanos, request.arrivedAtNanos() + request.timeoutNanos() - margin);
+        return Math.min(shutdownDeadlineNanos, startNanos + request.timeoutNanos() - margin);
     }
 
     /**
@@ -69,25 +72,41 @@
                         () -> expire.accept(request)));
     }
 
-    /** Schedules the expiry of a fully sent streamed request: its timeout starts now. */
-    void scheduleAfterStreaming(PendingRequest request) {
-        long timeoutNanos = request.clientRequest().timeoutNanos();
+    /**
+     * Schedules the expiry of a request whose body is streamed. The timeout of the client counts
+     * from its last byte, even if that waits for the upstream host to read; while the client itself
+     * is slow, its timeout does not run.
+     */
+    void scheduleForStreaming(PendingRequest request) {
         request.setExpiry(
                 scheduler.scheduleAt(
-                        Math.min(shutdownDeadlineNanos, clock.nanoTime() + timeoutNanos),
-                        () -> expire.accept(request)));
+                        streamingDeadlineNanos(request), () -> expireStreaming(request)));
+    }
+
+    private long streamingDeadlineNanos(PendingRequest request) {
+        return deadlineNanos(
+                request.clientRequest(), request.client().uploadProgress().lastIncompleteNanos());
+    }
+
+    private void expireStreaming(PendingRequest request) {
+        request.client().readPendingInput();
+        if (request.isOpen() && streamingDeadlineNanos(request) > clock.nanoTime()) {
+            scheduleForStreaming(request);
+        } else if (request.isOpen()) {
+            expire.accept(request);
+        }
     }
 
-    /** Expires uncommitted requests at that time, and caps the deadlines of later requests. */
+    /** Expires all requests at that time, and caps the deadlines of later requests. */
     void setShutdownDeadline(long atNanos) {
         shutdownDeadlineNanos = atNanos;
-        scheduler.scheduleAt(atNanos, this::expireUncommitted);
+        scheduler.scheduleAt(atNanos, this::expireAll);
     }
 
-    /** Expires all requests that are not being streamed; streams have to end by themselves. */
-    private void expireUncommitted() {
+    /** Expires all requests whose response is not being streamed; those end by themselves. */
+    private void expireAll() {
         for (PendingRequest request : accounting.trackedRequests()) {
-            if (request.isUncommitted()) {
+            if (request.isOpen() && !request.isResponseStreaming()) {
                 expire.accept(request);
             }
         }
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -35,10 +35,25 @@
                                     + request.lastOutcome()
                                     + request.policyReason()
                                             .map(rule -> " rule=" + rule.label())
-                                            .orElse(""));
+                                            .orElse("")
+                                    + uploadFields(request, nowNanos));
         }
     }
 
+    /** Who waited for whom while the body of a request was streamed. */
+    private static String uploadFields(PendingRequest request, long nowNanos) {
+        if (!request.isRequestStreaming()) {
+            return "";
+        }
+        UploadProgress progress = request.client().uploadProgress();
+        return " upload_complete="
+                + progress.complete()
+                + " upstream_wait_ms="
+                + millis(progress.upstreamWaitNanos())
+                + " client_time_ms="
+                + millis(nowNanos - progress.lastIncompleteNanos());
+    }
+
     /** Logs the end of a request that ended on its arrival. */
     void ended(ClientRequest request, EndReason reason, long nowNanos) {
         log.event(
--- a/sidecar/src/main/java/appleridge/request/ResponseSink.java
+++ b/sidecar/src/main/java/appleridge/request/ResponseSink.java
@@ -12,6 +12,13 @@
      */
     void readPendingInput();
 
+    /**
+     * How far the client has sent a request whose body is streamed. Called only for such requests.
+     */
+    default UploadProgress uploadProgress() {
+        throw new UnsupportedOperationException("this client's requests are not streamed");
+    }
+
     /** Why a request failed. */
     enum FailureCause {
         /** The deadline of the request passed. */
--- a/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
+++ b/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
@@ -27,14 +27,11 @@
 
         /**
          * The first part of a request that is too long to be buffered is being sent. From now on
-         * the request can't be sent again, and its client's timeout is suspended until {@link
-         * #onRequestFullyWritten}. Called only for such requests.
+         * the request can't be sent again, and {@link SendDeadlines#responseByNanos} no longer
+         * applies. Called only for such requests.
          */
         default void onRequestStreamingStarted() {}
 
-        /** The last byte of a streamed request has been passed to the socket. */
-        default void onRequestFullyWritten() {}
-
         /** The attempt has ended; {@code response} is null if none was read. */
         void onAttemptEnded(Outcome outcome, UpstreamResponse response);
     }
