Ids of requests that may have executed are remembered after their clients left

An unsafe id that came again after its client had left, or after its answer, ran twice. Cause: an id was let go when its request ended, although its attempts might have run or still run. Class: something known of a connection that is forgotten with it, though its effect lives on.

Evidence: DepartedClientsIT: executed twice for unsafe and zone-keyed classes, after the client left and after the response.

A request that must not be repeated keeps its id until all its attempts have ended; if one may have executed, the id is remembered for 60 s (ExecutedIds: 32,768 hashes, 16 bytes each, taken up from the first id on). It is answered 409, reason=id_may_have_executed. What was rejected unsent is free at once. Only executed requests are remembered, so that a flood that is shed displaces nothing.

Not done: two processes of an upgrade do not share the memory.

--- a/sidecar/src/main/java/appleridge/request/EndReason.java
+++ b/sidecar/src/main/java/appleridge/request/EndReason.java
@@ -20,6 +20,8 @@
     STREAMED_REQUEST_NOT_EXECUTED("streamed_request_not_executed", RequestEnd.REJECTED),
     /** Another open request has the same id. */
     ID_IN_USE("id_in_use", RequestEnd.FAILED),
+    /** A request with the same id, which must not be executed twice, may have been executed. */
+    ID_MAY_HAVE_EXECUTED("id_may_have_executed", RequestEnd.FAILED),
     /** The deadline of the request, or the shutdown deadline, passed. */
     DEADLINE_EXCEEDED("deadline_exceeded", RequestEnd.FAILED),
     /** The policy failed the request after an attempt without a usable response. */
@@ -51,7 +53,7 @@
      */
     ResponseSink.FailureCause failureCause() {
         return switch (this) {
-            case ID_IN_USE -> ResponseSink.FailureCause.ID_IN_USE;
+            case ID_IN_USE, ID_MAY_HAVE_EXECUTED -> ResponseSink.FailureCause.ID_IN_USE;
             case DEADLINE_EXCEEDED -> ResponseSink.FailureCause.DEADLINE_EXCEEDED;
             case POLICY_FAILED, STREAMED_REQUEST_FAILED -> ResponseSink.FailureCause.UPSTREAM;
             default ->
--- a/sidecar/src/main/java/appleridge/request/RequestAccounting.java
+++ b/sidecar/src/main/java/appleridge/request/RequestAccounting.java
@@ -1,5 +1,7 @@
 package appleridge.request;
 
+import appleridge.loadbalancing.Idempotency;
+import appleridge.loadbalancing.PolicySettings;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,16 +18,21 @@
     private final RequestLog log;
     private final Map<Long, PendingRequest> tracked = new HashMap<>();
 
-    /** The ids that clients gave the open requests. */
+    /** The ids that clients gave the requests that are open or may still be executed. */
     private final Set<String> clientIds = new HashSet<>();
 
+    private final PolicySettings settings;
+    private final ExecutedIds executedIds;
     private RequestMetrics metrics = RequestMetrics.NONE;
     private long lastId;
     private int openRequests;
     private int outstandingAttempts;
 
-    RequestAccounting(int maxOpenRequests, RequestLog log) {
+    RequestAccounting(
+            int maxOpenRequests, PolicySettings settings, MonotonicClock clock, RequestLog log) {
         this.maxOpenRequests = maxOpenRequests;
+        this.settings = settings;
+        this.executedIds = new ExecutedIds(clock);
         this.log = log;
     }
 
@@ -43,7 +50,18 @@
         return openRequests >= maxOpenRequests;
     }
 
-    /** Reserves a client's id for a request; returns false if an open request has it. */
+    /**
+     * Whether a request with the same id has been forwarded before and may have been executed,
+     * though its client has left or was answered.
+     */
+    boolean mayHaveExecuted(String clientId) {
+        return executedIds.contains(clientId);
+    }
+
+    /**
+     * Reserves a client's id for a request; returns false if an open request has it, or one that
+     * must not be executed twice and of which an attempt is outstanding.
+     */
     boolean reserveId(String clientId) {
         return clientIds.add(clientId);
     }
@@ -72,7 +90,9 @@
         request.markEnded();
         log.ended(request, reason, nowNanos);
         metrics.onRequestEnded(request.clientRequest().requestClass(), reason.end());
-        clientIds.remove(request.clientRequest().id());
+        if (isRepeatable(request)) {
+            clientIds.remove(request.clientRequest().id());
+        }
         request.cancelExpiry();
         openRequests--;
         forgetIfDone(request);
@@ -92,10 +112,27 @@
     private void forgetIfDone(PendingRequest request) {
         if (request.isDone()) {
             tracked.remove(request.id());
+            if (!isRepeatable(request)) {
+                releaseId(request);
+            }
             request.clientRequest().message().release();
         }
     }
 
+    private boolean isRepeatable(PendingRequest request) {
+        int requestClass = request.clientRequest().requestClass();
+        return settings.classes().get(requestClass).idempotency() == Idempotency.IDEMPOTENT;
+    }
+
+    /** Lets the id go, but remembers it if the request may have been executed. */
+    private void releaseId(PendingRequest request) {
+        String id = request.clientRequest().id();
+        clientIds.remove(id);
+        if (request.attempts().stream().anyMatch(Attempt::mayHaveExecuted)) {
+            executedIds.remember(id);
+        }
+    }
+
     /** Returns the request with the id that the policy uses; null if it is not tracked. */
     PendingRequest find(long id) {
         return tracked.get(id);
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -63,7 +63,7 @@
         this.clock = clock;
         this.settings = settings;
         RequestLog requestLog = new RequestLog(clock, log);
-        this.accounting = new RequestAccounting(maxOpenRequests, requestLog);
+        this.accounting = new RequestAccounting(maxOpenRequests, settings, clock, requestLog);
         this.deferred = new DeferredRequests(clock, scheduler, requestLog);
         this.endpoints = new EndpointDirectory(transport);
         this.reconciler =
@@ -236,6 +236,12 @@
             client.onRejected(0);
             return () -> {};
         }
+        if (accounting.mayHaveExecuted(request.id())) {
+            accounting.requestEndedOnArrival(
+                    request, EndReason.ID_MAY_HAVE_EXECUTED, reconciler.lastEventNanos());
+            client.onFailed(ResponseSink.FailureCause.ID_IN_USE);
+            return () -> {};
+        }
         // An upstream host takes two requests with one id for the same request, so that a response
         // could go to either client.
         if (!accounting.reserveId(request.id())) {
--- a/sidecar/src/main/java/appleridge/request/ResponseSink.java
+++ b/sidecar/src/main/java/appleridge/request/ResponseSink.java
@@ -25,7 +25,7 @@
         DEADLINE_EXCEEDED,
         /** The upstream host gave an error response or no usable one. */
         UPSTREAM,
-        /** Another open request has the same id. */
+        /** Another request with the same id is open or may have been executed. */
         ID_IN_USE
     }
 
--- a/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
+++ b/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
@@ -249,4 +249,28 @@
         answeredAt(DUE + 2);
         assertEquals(List.of(Rule.LATE), fixture.rules());
     }
+
+    /** An answer that began in time may break off when its server has stopped for long enough. */
+    @Test
+    void answerThatBreaksOffBecauseItsServerStoppedIsNotLate() {
+        long limit = S + (100 + 1300 + 80 + 5) * MS;
+        assertEquals(List.of(), brokenOffAt(limit).rules());
+    }
+
+    /** It may not break off later. */
+    @Test
+    void answerThatBreaksOffLongAfterItsServerStoppedIsLate() {
+        long limit = S + (100 + 1300 + 80 + 5) * MS;
+        assertEquals(List.of(Rule.LATE), brokenOffAt(limit + 1).rules());
+    }
+
+    private CheckerFixture brokenOffAt(long moment) {
+        fixture.answerBegunAt = DUE;
+        fixture.lastAnswerReadAt = S + 100 * MS;
+        accepted();
+        fixture.checker.serverAnswered("s0", 0, "r", "body");
+        fixture.at(moment);
+        fixture.checker.answerBroken("r", "cut", true);
+        return fixture;
+    }
 }
