Failing test: an id that comes again at the other process of an upgrade runs twice

InheritedListenerIT starts two processes on one listener; a client leaves the old one while its unsafe request runs, and sends it again to the new one: 200, executed again.

--- a/sidecar/src/test/java/appleridge/daemon/InheritedListenerIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/InheritedListenerIT.java
@@ -346,4 +346,43 @@
             }
         }
     }
+
+    /**
+     * Guards against a request that is executed twice, because its id comes again at the process
+     * that takes over, after its client has left the old one.
+     */
+    @Test
+    void idThatMayHaveExecutedAtTheOldProcessIsNotExecutedAtTheNewOne() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream =
+                        new StubUpstream(
+                                (socket, request) -> {
+                                    never.await(1, TimeUnit.SECONDS);
+                                    StubUpstream.write(
+                                            socket, StubUpstream.response("200 OK", "fine"));
+                                    return true;
+                                });
+                SocketActivator platform = new SocketActivator(folder)) {
+            String config = config(discovery, upstream);
+            SocketActivator.Sidecar old = platform.start(config, "0");
+            old.awaitLog("serves at");
+            String request = TestClient.request("pay", "3.0");
+            TestClient leaving = new TestClient(platform.address());
+            leaving.send(request);
+            upstream.nextRequest();
+            SocketActivator.Sidecar next = platform.start(config, "0");
+            next.awaitLog("serves at");
+            old.signal("TERM");
+            leaving.close();
+            Thread.sleep(300);
+            try (TestClient again = new TestClient(platform.address())) {
+                assertEquals(409, TestClient.status(again.exchange(request)), next.log());
+            }
+            assertEquals(0, upstream.requests.size(), "executed again");
+            assertEquals(0, old.awaitExit(), old.log());
+            next.signal("TERM");
+            assertEquals(0, next.awaitExit(), next.log());
+        }
+    }
 }
