The processes of an upgrade share the ids of requests that may have executed

An unsafe id that came again at the process that takes over ran twice. Cause: each process remembered ids for itself. Class: something known that is forgotten with its holder, though its effect lives on.

--- a/sidecar/src/main/java/appleridge/daemon/HotRestart.java
+++ b/sidecar/src/main/java/appleridge/daemon/HotRestart.java
@@ -5,8 +5,10 @@
 import appleridge.hotrestart.ProcessState;
 import appleridge.hotrestart.ResourceShare;
 import appleridge.hotrestart.file.ProcessSlots;
+import appleridge.request.RequestCoordinator;
 import appleridge.transport.SidecarEventLoop;
 import java.io.IOException;
+import java.nio.LongBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -42,15 +44,23 @@
                         thread.setDaemon(true);
                         return thread;
                     });
+    private final LongBuffer ownIdTable;
+    private List<LongBuffer> otherIdTables;
     private List<ProcessState> others;
     private ProcessPhase phase = ProcessPhase.STARTING;
     private ResourceShare share;
     private SidecarEventLoop loop;
     private Sidecar sidecar;
 
-    private HotRestart(ProcessSlots slots, List<ProcessState> others) {
+    private HotRestart(
+            ProcessSlots slots,
+            List<ProcessState> others,
+            LongBuffer ownIdTable,
+            List<LongBuffer> otherIdTables) {
         this.slots = slots;
         this.others = others;
+        this.ownIdTable = ownIdTable;
+        this.otherIdTables = otherIdTables;
         this.share = ResourceShare.of(phase, otherPhases());
     }
 
@@ -65,7 +75,8 @@
                     ProcessSlots.acquire(
                             folder, line -> LOG.log(System.Logger.Level.WARNING, line));
             slots.publish(new ProcessState(ProcessPhase.STARTING, List.of()));
-            return new HotRestart(slots, slots.readOthers());
+            LongBuffer ownIdTable = slots.createIdTable(RequestCoordinator.ID_TABLE_ENTRIES);
+            return new HotRestart(slots, slots.readOthers(), ownIdTable, slots.readIdTables());
         } catch (IOException | RuntimeException e) {
             LOG.log(
                     System.Logger.Level.WARNING,
@@ -98,6 +109,7 @@
         loop = eventLoop;
         sidecar = attachedSidecar;
         sidecar.applyShare(share);
+        sidecar.shareExecutedIds(ownIdTable, otherIdTables);
         if (isBesideAnother()) {
             loop.log().info(ANOTHER_PROCESS_RUNS);
         }
@@ -109,6 +121,8 @@
                 () -> {
                     try {
                         List<ProcessState> found = slots.readOthers();
+                        List<LongBuffer> idTables = slots.readIdTables();
+                        loop.execute(() -> onIdTablesRead(idTables));
                         loop.execute(() -> onOthersRead(found));
                     } catch (IOException | RuntimeException e) {
                         loop.execute(() -> onOthersRead(List.of()));
@@ -116,6 +130,11 @@
                 });
     }
 
+    private void onIdTablesRead(List<LongBuffer> idTables) {
+        otherIdTables = idTables;
+        sidecar.shareExecutedIds(ownIdTable, otherIdTables);
+    }
+
     private void onOthersRead(List<ProcessState> found) {
         boolean wasBesideAnother = isBesideAnother();
         others = found;
--- a/sidecar/src/main/java/appleridge/daemon/Sidecar.java
+++ b/sidecar/src/main/java/appleridge/daemon/Sidecar.java
@@ -14,6 +14,7 @@
 import appleridge.transport.SocketFactory;
 import io.netty.channel.ChannelFuture;
 import java.net.InetSocketAddress;
+import java.nio.LongBuffer;
 import java.util.List;
 
 /**
@@ -119,6 +120,11 @@
         cluster.connectionPool.setConnectionShare(share.connectionFraction());
     }
 
+    /** Shares with other processes of this sidecar which request ids may have been executed. */
+    void shareExecutedIds(LongBuffer own, List<LongBuffer> others) {
+        cluster.coordinator.shareExecutedIds(own, others);
+    }
+
     /** Applies the directives that other processes of this sidecar have published. */
     void mergeDirectives(List<MaintenanceDirective> directives) {
         if (admin != null) {
--- a/sidecar/src/main/java/appleridge/hotrestart/file/ProcessSlots.java
+++ b/sidecar/src/main/java/appleridge/hotrestart/file/ProcessSlots.java
@@ -2,6 +2,7 @@
 
 import appleridge.hotrestart.ProcessState;
 import java.io.IOException;
+import java.nio.LongBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.file.Files;
@@ -29,6 +30,7 @@
     private final int ownSlot;
     private final FileLock lock;
     private final Consumer<String> warning;
+    private IdTableFiles idTables;
     private boolean warned;
 
     private ProcessSlots(Path folder, int ownSlot, FileLock lock, Consumer<String> warning) {
@@ -124,6 +126,27 @@
         return others;
     }
 
+    /**
+     * Creates the table of request ids that this process shares with the others. Must be called
+     * once, before {@link #readIdTables}.
+     *
+     * @param entries the number of values of a table
+     */
+    public LongBuffer createIdTable(int entries) throws IOException {
+        idTables = new IdTableFiles(folder, entries);
+        return idTables.create(ownSlot);
+    }
+
+    /** Returns the tables of the other processes, among them such as have ended. */
+    public List<LongBuffer> readIdTables() throws IOException {
+        for (int slot = 0; slot < MAX_PROCESSES; slot++) {
+            if (slot != ownSlot) {
+                idTables.openOther(slot);
+            }
+        }
+        return idTables.others();
+    }
+
     /** Releases the slot. */
     @Override
     public void close() throws IOException {
--- a/sidecar/src/main/java/appleridge/request/ExecutedIds.java
+++ b/sidecar/src/main/java/appleridge/request/ExecutedIds.java
@@ -1,5 +1,7 @@
 package appleridge.request;
 
+import java.nio.LongBuffer;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -15,6 +17,11 @@
     /** The number of ids that are remembered at most; 16 bytes each. */
     static final int CAPACITY = 32_768;
 
+    private static final int LONGS_PER_PLACE = 2;
+
+    /** The number of values of a table. */
+    static final int TABLE_ENTRIES = CAPACITY * LONGS_PER_PLACE;
+
     /** The number of places in which one id may be stored. */
     private static final int PLACES_PER_ID = 8;
 
@@ -25,10 +32,13 @@
 
     private final MonotonicClock clock;
 
-    /** The hashes; 0 for an unused place. Null before the first id. */
-    private long[] hashes;
+    /**
+     * A hash and a time for each place; the hash of an unused place is 0. Null before the first.
+     */
+    private LongBuffer table;
 
-    private long[] rememberedAtNanos;
+    /** The tables of other processes of this sidecar. */
+    private List<LongBuffer> otherTables = List.of();
 
     /** Creates an empty memory, which takes up space from the first id on. */
     ExecutedIds(MonotonicClock clock) {
@@ -37,30 +47,53 @@
 
     /** Remembers an id from now on. */
     void remember(String id) {
-        if (hashes == null) {
-            hashes = new long[CAPACITY];
-            rememberedAtNanos = new long[CAPACITY];
+        if (table == null) {
+            table = LongBuffer.allocate(TABLE_ENTRIES);
         }
         long now = clock.nanoTime();
         long hash = hash(id);
         int place = placeFor(hash, now);
-        hashes[place] = hash;
-        rememberedAtNanos[place] = now;
+        table.put(LONGS_PER_PLACE * place + 1, now);
+        table.put(LONGS_PER_PLACE * place, hash);
     }
 
     /** Whether an id is remembered. */
     boolean contains(String id) {
-        if (hashes == null) {
+        if (table == null && otherTables.isEmpty()) {
             return false;
         }
         long hash = hash(id);
+        int place = table == null ? -1 : find(table, hash);
+        return place >= 0 && !isExpired(place, clock.nanoTime())
+                || otherTables.stream().anyMatch(other -> find(other, hash) >= 0);
+    }
+
+    /** The place of a hash in a table; -1 if it is not there. */
+    private static int find(LongBuffer table, long hash) {
         int first = firstPlace(hash);
         for (int place = first; place < first + PLACES_PER_ID; place++) {
-            if (hashes[place] == hash && !isExpired(place, clock.nanoTime())) {
-                return true;
+            if (table.get(LONGS_PER_PLACE * place) == hash) {
+                return place;
             }
         }
-        return false;
+        return -1;
+    }
+
+    /**
+     * Sets where the ids are stored, and what other processes of this sidecar remember. Their times
+     * are not compared with this process's clock: what is in their tables is remembered.
+     *
+     * @param own an empty table of {@link #TABLE_ENTRIES} values
+     */
+    void share(LongBuffer own, List<LongBuffer> others) {
+        if (table == null) {
+            table = own;
+        }
+        otherTables = others;
+    }
+
+    private long rememberedAtNanos(int place) {
+        return table.get(LONGS_PER_PLACE * place + 1);
     }
 
     /** The place of the same id, an unused one, or the one that was filled first. */
@@ -68,10 +101,11 @@
         int first = firstPlace(hash);
         int oldest = first;
         for (int place = first; place < first + PLACES_PER_ID; place++) {
-            if (hashes[place] == hash || hashes[place] == 0 || isExpired(place, now)) {
+            long stored = table.get(LONGS_PER_PLACE * place);
+            if (stored == hash || stored == 0 || isExpired(place, now)) {
                 return place;
             }
-            if (rememberedAtNanos[place] - rememberedAtNanos[oldest] < 0) {
+            if (rememberedAtNanos(place) - rememberedAtNanos(oldest) < 0) {
                 oldest = place;
             }
         }
@@ -79,7 +113,7 @@
     }
 
     private boolean isExpired(int place, long now) {
-        return now - rememberedAtNanos[place] > RETENTION_NANOS;
+        return now - rememberedAtNanos(place) > RETENTION_NANOS;
     }
 
     private static int firstPlace(long hash) {
--- a/sidecar/src/main/java/appleridge/request/RequestAccounting.java
+++ b/sidecar/src/main/java/appleridge/request/RequestAccounting.java
@@ -2,6 +2,7 @@
 
 import appleridge.loadbalancing.Idempotency;
 import appleridge.loadbalancing.PolicySettings;
+import java.nio.LongBuffer;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -133,6 +134,11 @@
         }
     }
 
+    /** Shares the memory of executed ids with other processes of this sidecar. */
+    void shareExecutedIds(LongBuffer own, List<LongBuffer> others) {
+        executedIds.share(own, others);
+    }
+
     /** Returns the request with the id that the policy uses; null if it is not tracked. */
     PendingRequest find(long id) {
         return tracked.get(id);
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -7,6 +7,7 @@
 import appleridge.loadbalancing.UpdateKind;
 import appleridge.loadbalancing.UpstreamHost;
 import java.net.InetSocketAddress;
+import java.nio.LongBuffer;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
@@ -182,6 +183,19 @@
         return accounting.metrics();
     }
 
+    /** The number of values of a table for {@link #shareExecutedIds}. */
+    public static final int ID_TABLE_ENTRIES = ExecutedIds.TABLE_ENTRIES;
+
+    /**
+     * Shares with other processes of this sidecar which ids may have been executed.
+     *
+     * @param own the empty table that this process writes, of {@link #ID_TABLE_ENTRIES} values
+     * @param others the tables that other processes write
+     */
+    public void shareExecutedIds(LongBuffer own, List<LongBuffer> others) {
+        accounting.shareExecutedIds(own, others);
+    }
+
     /** The number of external events handled since the start. */
     public long eventCount() {
         return reconciler.eventCount();
--- a/sidecar/src/test/java/appleridge/request/ExecutedIdsTest.java
+++ b/sidecar/src/test/java/appleridge/request/ExecutedIdsTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.LongBuffer;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Guards against ids that are forgotten too early, and against a memory that grows. */
@@ -60,4 +62,17 @@
         }
         assertFalse(ids.contains("flood0"));
     }
+
+    /** What another process remembers counts, whatever its clock says. */
+    @Test
+    void idsOfAnotherProcessAreKnown() {
+        LongBuffer table = LongBuffer.allocate(ExecutedIds.TABLE_ENTRIES);
+        ExecutedIds other = new ExecutedIds(() -> now - 2 * ExecutedIds.RETENTION_NANOS);
+        other.share(table, List.of());
+        other.remember("a");
+        assertFalse(ids.contains("a"));
+        ids.share(LongBuffer.allocate(ExecutedIds.TABLE_ENTRIES), List.of(table));
+        assertTrue(ids.contains("a"));
+        assertFalse(ids.contains("b"));
+    }
 }
