Input is read in the turns of the loop before a request is accepted: a flood delays nobody

Cause: 16 rounds of reads in one task, each up to 30 ms where little of it is payload.

What reached the limit of reads waits for the loop's next turn; otherwise input is read for 10 ms at a time, and a request is accepted once nothing is left.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -24,11 +24,8 @@
     /** How long a client rejected at the connection limit has at least to read the response. */
     private static final long MIN_REJECTION_LINGER_MILLIS = 20;
 
-    /**
-     * How often input is read again to find the end of a connection: for more than all requests
-     * that a client may pipeline.
-     */
-    private static final int MAX_READ_ROUNDS = 16;
+    /** How long input is read at a time to find the end of a connection. */
+    private static final long MAX_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
 
     private final ClientListener listener;
     private final Channel channel;
@@ -39,6 +36,7 @@
     private final RequestIntake intake;
     private final BufferBudget.Account responseBuffers;
     private boolean rejected;
+    private boolean inputDrained = true;
 
     private ClientConnection(
             ClientListener listener,
@@ -62,7 +60,7 @@
                         activity,
                         closing,
                         responses,
-                        new RequestDispatcher(listener, this),
+                        new RequestDispatcher(listener, this, readActivity),
                         new RequestBuffer(listener.buffers().requests().newAccount()));
     }
 
@@ -153,24 +151,33 @@
     }
 
     /**
-     * Reads pending input from the socket until none is left: the end of the connection is behind
-     * all that the client has sent. Returns whether the connection is still active.
+     * Reads pending input from the socket until none is left, or for some time: the end of the
+     * connection is behind all that the client has sent. Returns whether the connection is still
+     * active.
      */
     boolean readPendingInput() {
-        int rounds = 0;
-        long readsBefore = -1;
-        while (rounds < MAX_READ_ROUNDS
-                && readsBefore != readActivity.readCount()
-                && channel.isActive()
-                && channel.config().isAutoRead()
-                && !readActivity.isDelivering()) {
-            readsBefore = readActivity.readCount();
-            listener.readNow(channel);
-            rounds++;
-        }
+        long startNanos = loop().nanoTime();
+        do {
+            inputDrained = !readMoreInput();
+        } while (!inputDrained && loop().nanoTime() - startNanos < MAX_READ_NANOS);
         return channel.isActive();
     }
 
+    /** Whether {@link #readPendingInput} left nothing unread. */
+    boolean isInputDrained() {
+        return inputDrained;
+    }
+
+    /** Reads once from the socket; returns whether there was any input and there may be more. */
+    private boolean readMoreInput() {
+        if (!channel.isActive() || !channel.config().isAutoRead() || readActivity.isDelivering()) {
+            return false;
+        }
+        long readsBefore = readActivity.readCount();
+        listener.readNow(channel);
+        return channel.isActive() && readActivity.readCount() != readsBefore;
+    }
+
     void logClosed(HttpResponseStatus status) {
         listener.logClosed("rejected status=" + status.code());
     }
--- a/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes the requests of one client connection to the request coordinator. Answers readiness checks
@@ -15,17 +16,25 @@
     private static final byte[] NO_BODY = {};
     private static final String READY_PATH = "/health/ready";
 
+    /** After how long unread input is looked for again: one turn of the event loop. */
+    private static final long RECHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     private final ClientListener listener;
     private final ClientConnection connection;
+    private final ReadActivityHandler readActivity;
 
     /** Requests that have been read and not accepted yet. */
     private final ArrayDeque<PendingDispatch> pending = new ArrayDeque<>();
 
     private boolean dispatchScheduled;
 
-    RequestDispatcher(ClientListener listener, ClientConnection connection) {
+    RequestDispatcher(
+            ClientListener listener,
+            ClientConnection connection,
+            ReadActivityHandler readActivity) {
         this.listener = listener;
         this.connection = connection;
+        this.readActivity = readActivity;
     }
 
     private record PendingDispatch(ClientRequest request, ClientExchange exchange) {}
@@ -94,7 +103,7 @@
     }
 
     /** Passes requests on after the current read, which must not be interrupted by another one. */
-    void scheduleDispatch() {
+    private void scheduleDispatch() {
         if (!dispatchScheduled) {
             dispatchScheduled = true;
             listener.loop().execute(this::dispatchIfPresent);
@@ -104,10 +113,24 @@
     /**
      * Reads the input up to its end before requests are accepted, and drops them if their client
      * has disconnected. They may have waited in the backlog, or unread behind others, until their
-     * client gave up, and its disconnect is behind all that it has sent.
+     * client gave up, and its disconnect is behind all that it has sent. How much that is at most
+     * is bounded by the number of requests that a client may pipeline.
      */
     private void dispatchIfPresent() {
+        if (readActivity.hasReachedReadLimit()) {
+            // The loop reads on in its next turn; reading more now would delay other clients.
+            listener.loop().schedule(RECHECK_NANOS, this::readAndDispatch);
+        } else {
+            readAndDispatch();
+        }
+    }
+
+    private void readAndDispatch() {
         boolean present = connection.readPendingInput();
+        if (present && !connection.isInputDrained()) {
+            listener.loop().schedule(RECHECK_NANOS, this::readAndDispatch);
+            return;
+        }
         dispatchScheduled = false;
         while (!pending.isEmpty()) {
             PendingDispatch next = pending.poll();
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -303,9 +303,6 @@
     /** Handles the end of a read, after which all available input has been processed. */
     void onReadComplete() {
         requestsInRead = 0;
-        if (readActivity.hasReachedReadLimit()) {
-            dispatcher.scheduleDispatch();
-        }
         activity.onReadComplete();
         if (uploading != null) {
             uploading.upload().flush();
