--- a/review/standins-2/src/Restart.java
+++ b/review/standins-2/src/Restart.java
@@ -35,7 +35,7 @@
         AtomicBoolean ending = new AtomicBoolean();
         AtomicInteger answered = new AtomicInteger();
         for (int i = 0; i < 2; i++) {
-            Rig.daemon("client", () -> Backoff.client(rig, port, ending, answered));
+            Rig.daemon("client", () -> client(rig, port, ending, answered));
         }
         Rig.sleep(3000);
         Rig.check(answered.get() > 20, "the clients were not served");
@@ -67,4 +67,25 @@
         rig.note(breaks.get() + " requests reached u0 later than 0.9 s after the new process began");
         return breaks.get() == 0;
     }
+
+    private static void client(Rig rig, int port, AtomicBoolean ending, AtomicInteger answered) {
+        while (!ending.get()) {
+            try (Http.Connection connection = Http.connect(port, 1000)) {
+                while (!ending.get()) {
+                    String id = Http.id();
+                    rig.log("client sends " + id);
+                    connection.send(Http.request(id, "stock-check", "0.400", null, 0));
+                    Http.Message answer = connection.read(2000);
+                    rig.log("client gets " + answer.status + " for " + id);
+                    if (answer.status == 200) {
+                        answered.incrementAndGet();
+                    }
+                    Rig.sleep(40);
+                }
+            } catch (java.io.IOException e) {
+                rig.log("client: " + e);
+                Rig.sleep(20);
+            }
+        }
+    }
 }
