The time of a long request no longer begins anew when a paused read resumes

Cause: an empty socket was taken as proof that the client had not sent its last byte. Behind a pause it proves nothing: the client's bytes wait in its own system until a read opens the receive window. And a read that a pause had cut short counted as one that left nothing, because the flush resumed reading before the end of the read was judged.

Change: InputLagTracker knows up to when all that a client has sent has been read. A pause puts it behind; it has caught up when the window has been open for 50 ms without being filled, which depends on the two systems alone, not on a timely loop or client. UploadTracker takes the client's time from it. Input that arrives while nothing was unread had not been sent before, so a client that stops for less than its time is no longer cut off. A request pipelined behind a long one counts from the last catch-up.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -31,6 +31,7 @@
     private final Channel channel;
     private final ReadActivityHandler readActivity;
     private final ClientActivity activity;
+    private final InputLagTracker inputLag;
     private final LingeringClose closing;
     private final ResponsePipeline responses;
     private final RequestIntake intake;
@@ -48,6 +49,13 @@
         this.readActivity = readActivity;
         this.responseBuffers = listener.buffers().responses().newAccount();
         this.activity = new ClientActivity(loop());
+        this.inputLag =
+                new InputLagTracker(
+                        loop(),
+                        loop(),
+                        channel,
+                        listener.coordinator()::earliestArrivalNanos,
+                        this::readPendingInput);
         this.closing = new LingeringClose(channel, readActivity, loop());
         this.responses =
                 new ResponsePipeline(this, listener, channel, readActivity, activity, closing);
@@ -58,6 +66,7 @@
                         readActivity,
                         decoder,
                         activity,
+                        inputLag,
                         closing,
                         responses,
                         new RequestDispatcher(listener, this, readActivity),
@@ -132,6 +141,19 @@
         return responseBuffers.reserve(kind);
     }
 
+    /**
+     * The earliest time at which the client may have sent the last byte of a request that is being
+     * read and is the last of the {@link #responses}. Where it was pipelined behind one whose
+     * upstream was slow, it may have waited unread.
+     */
+    long earliestArrivalNanos() {
+        long earliestRead = listener.coordinator().earliestArrivalNanos();
+        boolean pipelined = responses.size() > 1;
+        return inputLag.isBehind() && pipelined
+                ? Math.min(earliestRead, inputLag.caughtUpNanos())
+                : earliestRead;
+    }
+
     /** The responses that are written but not yet accepted by the kernel. */
     WriteBacklog writeBacklog() {
         return responses.backlog();
--- a/sidecar/src/main/java/appleridge/http1/ReadActivityHandler.java
+++ b/sidecar/src/main/java/appleridge/http1/ReadActivityHandler.java
@@ -18,6 +18,7 @@
 
     private boolean hasPartialMessage;
     private long partialMessageBytes;
+    private long bytesRead;
     private boolean delivering;
     private int readsInEvent;
     private long readCount;
@@ -46,6 +47,11 @@
         return partialMessageBytes;
     }
 
+    /** The number of bytes read since the connection was opened. */
+    long bytesRead() {
+        return bytesRead;
+    }
+
     /** Whether a read is in progress, whose input is being passed to the decoder. */
     boolean isDelivering() {
         return delivering;
@@ -77,6 +83,7 @@
         delivering = true;
         readsInEvent++;
         readCount++;
+        bytesRead += ((ByteBuf) message).readableBytes();
         if (discarding) {
             discardedBytes += ((ByteBuf) message).readableBytes();
             ReferenceCountUtil.release(message);
--- a/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
@@ -52,7 +52,7 @@
                     parse(
                             head,
                             request.body(),
-                            listener.coordinator().earliestArrivalNanos(),
+                            connection.earliestArrivalNanos(),
                             request.reservation());
             pending.add(new PendingDispatch(parsed, exchange));
             scheduleDispatch();
@@ -70,15 +70,10 @@
         return parsed.withMessage(message.withReservation(reservation));
     }
 
-    /** The earliest time at which input that is read now may have arrived. */
-    long earliestArrivalNanos() {
-        return listener.coordinator().earliestArrivalNanos();
-    }
-
     /** Rejects a request of which not all has been read, because too many bytes are buffered. */
     void rejectForBufferLimit(HttpRequest head, ClientExchange exchange) {
         try {
-            long arrivedNanos = listener.coordinator().earliestArrivalNanos();
+            long arrivedNanos = connection.earliestArrivalNanos();
             listener.coordinator()
                     .rejectForBufferLimit(
                             listener.requestParser().parse(head, NO_BODY, arrivedNanos), exchange);
@@ -87,7 +82,11 @@
         }
     }
 
-    /** Dispatches a request whose body is streamed. */
+    /**
+     * Dispatches a request whose body is streamed.
+     *
+     * @param arrivedNanos the time from which its deadline counts until it is forwarded
+     */
     void dispatchUpload(
             RequestBuffer.Streamed request, ClientExchange exchange, long arrivedNanos) {
         try {
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -32,6 +32,7 @@
     private final ReadActivityHandler readActivity;
     private final StrictRequestDecoder decoder;
     private final ClientActivity activity;
+    private final InputLagTracker inputLag;
     private final LingeringClose closing;
     private final ResponsePipeline responses;
     private final RequestDispatcher dispatcher;
@@ -46,6 +47,7 @@
             ReadActivityHandler readActivity,
             StrictRequestDecoder decoder,
             ClientActivity activity,
+            InputLagTracker inputLag,
             LingeringClose closing,
             ResponsePipeline responses,
             RequestDispatcher dispatcher,
@@ -56,6 +58,7 @@
         this.readActivity = readActivity;
         this.decoder = decoder;
         this.activity = activity;
+        this.inputLag = inputLag;
         this.closing = closing;
         this.responses = responses;
         this.dispatcher = dispatcher;
@@ -213,15 +216,13 @@
         ClientExchange exchange = newExchange(head);
         long length = HttpUtil.getContentLength(head, -1L);
         uploadedBytes = request.receivedPart().readableBytes();
+        long arrivedNanos = connection.earliestArrivalNanos();
         UploadTracker tracker =
                 new UploadTracker(
-                        connection.loop(),
-                        channel,
-                        length - uploadedBytes,
-                        dispatcher.earliestArrivalNanos());
+                        connection.loop(), channel, inputLag, length - uploadedBytes, arrivedNanos);
         exchange.setUpload(new StreamedBody(head.headers(), length, this), tracker);
         uploading = exchange;
-        dispatcher.dispatchUpload(request, exchange, activity.stateSinceNanos());
+        dispatcher.dispatchUpload(request, exchange, arrivedNanos);
     }
 
     private void upload(HttpContent content) {
@@ -285,6 +286,7 @@
     @Override
     public void pause() {
         activity.onReadPaused();
+        inputLag.onPaused();
         if (uploading != null) {
             uploading.uploadTracker().onPaused();
         }
@@ -304,9 +306,13 @@
     void onReadComplete() {
         requestsInRead = 0;
         activity.onReadComplete();
+        // Before the flush, which may resume reading although the read ended at a pause.
+        inputLag.onReadComplete(
+                readActivity.bytesRead(),
+                channel.config().isAutoRead() && !readActivity.hasReachedReadLimit());
         if (uploading != null) {
+            uploading.uploadTracker().onReadComplete();
             uploading.upload().flush();
-            uploading.uploadTracker().onReadComplete(!readActivity.hasReachedReadLimit());
         } else if (readActivity.hasPartialMessage()) {
             activity.onRequestStarted();
         }
--- a/sidecar/src/main/java/appleridge/http1/UploadTracker.java
+++ b/sidecar/src/main/java/appleridge/http1/UploadTracker.java
@@ -6,9 +6,9 @@
 import io.netty.channel.ChannelOption;
 
 /**
- * Tracks for a request whose body is streamed whether its client or its upstream is waited for.
- * While reading from the client is paused, its last byte may be in the buffers of the operating
- * systems; how much of the body those can hold is bounded. Event loop only.
+ * Tracks for a request whose body is streamed whether its client or its upstream is waited for. The
+ * client is known not to have sent its last byte where all that it has sent has been read, or where
+ * more is missing than the buffers of the operating systems can hold. Event loop only.
  */
 final class UploadTracker {
     /** The default limit of a send buffer on Linux; the client's own is not known. */
@@ -16,41 +16,49 @@
 
     private final MonotonicClock clock;
     private final Channel channel;
+    private final InputLagTracker inputLag;
     private long remainingBytes;
     private long lastIncompleteNanos;
-    private boolean inputDrained;
     private boolean paused;
     private long pausedAtNanos;
     private long upstreamWaitNanos;
+    private int pauses;
 
     /**
      * Creates a tracker.
      *
-     * @param lengthBytes the length of the whole body
+     * @param lengthBytes the length of the body without what has been read of it
      * @param startNanos a time at which the last byte had not been sent
      */
-    UploadTracker(MonotonicClock clock, Channel channel, long lengthBytes, long startNanos) {
+    UploadTracker(
+            MonotonicClock clock,
+            Channel channel,
+            InputLagTracker inputLag,
+            long lengthBytes,
+            long startNanos) {
         this.clock = clock;
         this.channel = channel;
+        this.inputLag = inputLag;
         this.remainingBytes = lengthBytes;
         this.lastIncompleteNanos = startNanos;
     }
 
-    /** Records that bytes of the body have been read. */
+    /** Records that bytes of the body are read. */
     void onRead(int bytes) {
+        inputLag.onRead();
+        update();
         remainingBytes -= bytes;
     }
 
-    /** Records the end of a read, and whether it left nothing unread in the socket. */
-    void onReadComplete(boolean drained) {
-        inputDrained = drained;
+    /** Records the end of a read, after {@link InputLagTracker#onReadComplete}. */
+    void onReadComplete() {
         update();
     }
 
     /** Records that reading pauses, because the upstream can't take more. */
     void onPaused() {
         paused = true;
-        inputDrained = false;
+        pauses++;
         pausedAtNanos = clock.nanoTime();
     }
 
@@ -61,9 +69,10 @@
     }
 
     private void update() {
-        boolean nothingUnread = inputDrained && !paused;
-        if (remainingBytes > 0 && (nothingUnread || remainingBytes > maxUnreadBytes())) {
-            lastIncompleteNanos = clock.nanoTime();
+        if (remainingBytes > 0) {
+            long incompleteNanos =
+                    remainingBytes > maxUnreadBytes() ? clock.nanoTime() : inputLag.caughtUpNanos();
+            lastIncompleteNanos = Math.max(lastIncompleteNanos, incompleteNanos);
         }
     }
 
@@ -79,6 +88,7 @@
     UploadProgress progress() {
         update();
         long waitNanos = upstreamWaitNanos + (paused ? clock.nanoTime() - pausedAtNanos : 0);
-        return new UploadProgress(lastIncompleteNanos, remainingBytes <= 0, waitNanos);
+        return new UploadProgress(
+                lastIncompleteNanos, Math.max(0, remainingBytes), waitNanos, pauses);
     }
 }
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -47,7 +47,11 @@
         }
         UploadProgress progress = request.client().uploadProgress();
         return " upload_complete="
-                + progress.complete()
+                + (progress.unreadBytes() == 0)
+                + " upload_unread_bytes="
+                + progress.unreadBytes()
+                + " read_pauses="
+                + progress.pauses()
                 + " upstream_wait_ms="
                 + millis(progress.upstreamWaitNanos())
                 + " client_time_ms="
