The end of a read is stamped once; the tests' clients use one timeout a class

Need: InputLagTracker read the clock once more at each read and for each connection.

Change: the caller's time is passed on.

--- a/sidecar/src/main/java/appleridge/http1/ClientActivity.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientActivity.java
@@ -33,8 +33,8 @@
     }
 
     /** Records that all available input has been read from the socket. */
-    void onReadComplete() {
-        lastReadNanos = clock.nanoTime();
+    void onReadComplete(long now) {
+        lastReadNanos = now;
     }
 
     /**
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -53,6 +53,7 @@
                 new InputLagTracker(
                         loop(),
                         loop(),
+                        activity.stateSinceNanos(),
                         channel,
                         listener.coordinator()::earliestArrivalNanos,
                         this::readPendingInput);
--- a/sidecar/src/main/java/appleridge/http1/InputLagTracker.java
+++ b/sidecar/src/main/java/appleridge/http1/InputLagTracker.java
@@ -53,6 +53,7 @@
     /**
      * Creates a tracker of a new connection, which is not behind.
      *
+     * @param openedNanos when the connection was opened
      * @param earliestArrivalNanos returns the earliest time at which input that is read now, and
      *     was not there at the last read, may have arrived
      * @param readPendingInput reads the channel until nothing is left, unless reading is paused
@@ -60,6 +61,7 @@
     InputLagTracker(
             MonotonicClock clock,
             Scheduler scheduler,
+            long openedNanos,
             Channel channel,
             LongSupplier earliestArrivalNanos,
             Runnable readPendingInput) {
@@ -68,7 +70,7 @@
         this.channel = channel;
         this.earliestArrivalNanos = earliestArrivalNanos;
         this.readPendingInput = readPendingInput;
-        this.caughtUpNanos = clock.nanoTime();
+        this.caughtUpNanos = openedNanos;
     }
 
     /** Whether the client may have sent bytes that reading has not reached, because it paused. */
@@ -101,24 +103,24 @@
     /**
      * Records the end of a read.
      *
+     * @param now the time of that end
      * @param bytesRead the number of bytes read since the connection was opened
      * @param nothingLeft whether it ended because of that, and not because of a limit or a pause
      */
-    void onReadComplete(long bytesRead, boolean nothingLeft) {
+    void onReadComplete(long now, long bytesRead, boolean nothingLeft) {
         drained = nothingLeft;
         if (!drained) {
             return;
         }
         if (behind) {
-            watchWindow(bytesRead);
+            watchWindow(now, bytesRead);
         }
         if (!behind) {
-            caughtUpNanos = clock.nanoTime();
+            caughtUpNanos = now;
         }
     }
 
-    private void watchWindow(long bytesRead) {
-        long now = clock.nanoTime();
+    private void watchWindow(long now, long bytesRead) {
         if (!windowOpen || bytesRead - bytesReadBeforeWindowOpened >= minWindowBytes()) {
             windowOpen = true;
             windowOpenedNanos = now;
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -305,9 +305,11 @@
     /** Handles the end of a read, after which all available input has been processed. */
     void onReadComplete() {
         requestsInRead = 0;
-        activity.onReadComplete();
+        long now = connection.loop().nanoTime();
+        activity.onReadComplete(now);
         // Before the flush, which may resume reading although the read ended at a pause.
         inputLag.onReadComplete(
+                now,
                 readActivity.bytesRead(),
                 channel.config().isAutoRead() && !readActivity.hasReachedReadLimit());
         if (uploading != null) {
--- a/sidecar/src/test/java/appleridge/daemon/PacedUpload.java
+++ b/sidecar/src/test/java/appleridge/daemon/PacedUpload.java
@@ -66,6 +66,14 @@
         }
     }
 
+    /**
+     * The class of requests with this timeout. The policy takes requests of one class with other
+     * timeouts for retries of their clients, and rejects some of them.
+     */
+    private String requestClass() {
+        return timeoutMillis <= 400 ? "pay" : timeoutMillis <= 1000 ? "hold" : "write";
+    }
+
     private void write(TestClient client, CompletableFuture<Long> lastByteAt) {
         try {
             OutputStream out = client.socket.getOutputStream();
@@ -85,7 +93,7 @@
     }
 
     private String head() {
-        return TestClient.request("pay", String.valueOf(timeoutMillis / 1000.0))
+        return TestClient.request(requestClass(), String.valueOf(timeoutMillis / 1000.0))
                 .replace(
                         "Content-Length: 4\r\n\r\nbody",
                         "Content-Length: " + bodyBytes + "\r\n\r\n");
--- a/sidecar/src/test/java/appleridge/http1/InputLagTrackerTest.java
+++ b/sidecar/src/test/java/appleridge/http1/InputLagTrackerTest.java
@@ -56,7 +56,7 @@
     private int unreadBytes;
     private final InputLagTracker tracker =
             new InputLagTracker(
-                    () -> now, time, new EmbeddedChannel(), () -> now, this::readPendingInput);
+                    () -> now, time, now, new EmbeddedChannel(), () -> now, this::readPendingInput);
 
     private void readPendingInput() {
         read(unreadBytes);
@@ -68,14 +68,14 @@
             tracker.onRead();
             bytesRead += bytes;
         }
-        tracker.onReadComplete(bytesRead, true);
+        tracker.onReadComplete(now, bytesRead, true);
     }
 
     private long pause(long nanos) {
         read(FEW_BYTES);
         long pausedAt = now;
         tracker.onPaused();
-        tracker.onReadComplete(bytesRead, false);
+        tracker.onReadComplete(now, bytesRead, false);
         time.advance(nanos);
         return pausedAt;
     }
@@ -97,7 +97,7 @@
     void readThatEndsAtAPauseProvesNothing() {
         long pausedAt = pause(800 * MILLI);
         time.advance(InputLagTracker.WINDOW_OPEN_NANOS);
-        tracker.onReadComplete(bytesRead, false);
+        tracker.onReadComplete(now, bytesRead, false);
         assertTrue(tracker.isBehind());
         assertEquals(pausedAt, tracker.caughtUpNanos());
     }
