Long requests are read ahead while they wait, so that a client's end is seen

Cause: reading that is paused is blind to the client, whose end is behind all that it has sent. A long request was dispatched in the middle of a read, and reading was paused as soon as it had no target. Evidence: request.ended age_ms=503 attempts=2 read_pauses=1 upstream_wait_ms=502, the end being read 2 ms after the second attempt had let reading go on; no event_loop.stall.

Change: the body is read ahead into ReadAheadBuffer while its upstream takes no more or there is none yet. Bound: the budget for requests, at most two thirds of it (8 MiB with the deploy file), nothing once five sixths are in use, and for one connection no more than is left (4 MiB alone); beyond that reading pauses as before, and is tried again every 0.1 s. A long request is accepted like a short one, after its connection has been read until nothing is left. StreamedBody writes nothing from within a write, where a chunk may be half written.

BufferBudgetTest for what is spare. The test of an upstream that does not read runs with the deploy file's heap now: with the tests' heap the longest body fits into the budget, so that its client's time ended before the limit of 10 s that the test is for.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -71,7 +71,7 @@
                         closing,
                         responses,
                         new RequestDispatcher(listener, this, readActivity),
-                        new RequestBuffer(listener.buffers().requests().newAccount()));
+                        new RequestBuffer(listener.buffers().requests()));
     }
 
     /** Sets up the pipeline of a connection that has been accepted. */
@@ -312,6 +312,7 @@
      */
     void expire(long now, ClientTimeouts timeouts) {
         long stateMillis = activity.stateMillis(now);
+        intake.retryReadAhead();
         if (responses.backlog().isPending(now, WriteBacklog.MAX_PENDING_NANOS)
                 || responses.isStreamStalled(now)) {
             resetUnread();
--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -111,6 +111,11 @@
         return response != null || responseStream != null && (!streamStarted || streamComplete);
     }
 
+    /** Whether there is a buffered response, which may have been written already. */
+    boolean isAnswered() {
+        return response != null;
+    }
+
     /** The buffered response; null while there is none. */
     FullHttpResponse response() {
         return response;
--- a/sidecar/src/main/java/appleridge/http1/ClientListener.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientListener.java
@@ -219,12 +219,18 @@
         drain.endIfDrained();
     }
 
-    /** Logs a request that is dropped unsent, because its client disconnected right behind it. */
-    void logDeparted(String requestId) {
+    /**
+     * Logs a request that is dropped before it is accepted.
+     *
+     * @param clientPresent whether its client is still there, and has got a response to the
+     *     malformed rest of the request
+     */
+    void logDropped(String requestId, boolean clientPresent) {
+        String reason = clientPresent ? "malformed" : "client_disconnected";
         loop.log()
                 .event(
                         LogEvent.REQUEST_DROPPED,
-                        () -> "id=" + LogText.id(requestId) + " reason=client_disconnected");
+                        () -> "id=" + LogText.id(requestId) + " reason=" + reason);
     }
 
     /** Logs the reason why this side closes a client connection. */
--- a/sidecar/src/main/java/appleridge/http1/HttpUpstreamRequest.java
+++ b/sidecar/src/main/java/appleridge/http1/HttpUpstreamRequest.java
@@ -49,6 +49,9 @@
 
     @Override
     public void release() {
+        if (streamedBody != null) {
+            streamedBody.discard();
+        }
         if (reservation != null) {
             reservation.release();
         }
--- a/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
@@ -19,6 +19,9 @@
 
     private final BufferBudget.Account account;
 
+    /** An account of its own: what is read ahead must not use up what the next request needs. */
+    private final BufferBudget.Account readAheadAccount;
+
     /** Null if and only if the head is. */
     private BufferBudget.Reservation reservation;
 
@@ -35,8 +38,14 @@
 
     private int discardedBytes;
 
-    RequestBuffer(BufferBudget.Account account) {
-        this.account = account;
+    /**
+     * Creates a buffer that holds nothing.
+     *
+     * @param budget the budget of all client connections
+     */
+    RequestBuffer(BufferBudget budget) {
+        this.account = budget.newAccount();
+        this.readAheadAccount = budget.newAccount();
     }
 
     /** Begins to receive the body of a request. */
@@ -117,7 +126,9 @@
 
     /** Takes out the request whose body is streamed from now on. */
     Streamed takeStreamed() {
-        Streamed streamed = new Streamed(head, body, reservation);
+        ReadAheadBuffer readAhead =
+                ReadAheadBuffer.reserving(readAheadAccount.reserve(BufferKind.READ_AHEAD));
+        Streamed streamed = new Streamed(head, body, reservation, readAhead);
         forget();
         return streamed;
     }
@@ -148,6 +159,11 @@
      *
      * @param receivedPart the part of the body received so far
      * @param reservation to be released once the request and all its attempts have ended
+     * @param readAhead holds further parts until an upstream takes them
      */
-    record Streamed(HttpRequest head, ByteBuf receivedPart, BufferBudget.Reservation reservation) {}
+    record Streamed(
+            HttpRequest head,
+            ByteBuf receivedPart,
+            BufferBudget.Reservation reservation,
+            ReadAheadBuffer readAhead) {}
 }
--- a/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
@@ -83,7 +83,7 @@
     }
 
     /**
-     * Dispatches a request whose body is streamed.
+     * Dispatches a request whose body is streamed, with what can be read ahead of it.
      *
      * @param arrivedNanos the time from which its deadline counts until it is forwarded
      */
@@ -94,7 +94,10 @@
                     parse(request.head(), NO_BODY, arrivedNanos, request.reservation());
             exchange.upload().write(request.receivedPart());
             HttpUpstreamRequest message = (HttpUpstreamRequest) parsed.message();
-            accept(parsed.withMessage(message.withStreamedBody(exchange.upload())), exchange);
+            ClientRequest streamed =
+                    parsed.withMessage(message.withStreamedBody(exchange.upload()));
+            pending.add(new PendingDispatch(streamed, exchange));
+            scheduleDispatch();
         } catch (InvalidRequestException e) {
             request.reservation().release();
             answerMalformed(e, exchange);
@@ -113,7 +116,8 @@
      * Reads the input up to its end before requests are accepted, and drops them if their client
      * has disconnected. They may have waited in the backlog, or unread behind others, until their
      * client gave up, and its disconnect is behind all that it has sent. How much that is at most
-     * is bounded by the number of requests that a client may pipeline.
+     * is bounded by the number of requests that a client may pipeline, and by what may be read
+     * ahead of a streamed body.
      */
     private void dispatchIfPresent() {
         if (readActivity.hasReachedReadLimit()) {
@@ -133,10 +137,10 @@
         dispatchScheduled = false;
         while (!pending.isEmpty()) {
             PendingDispatch next = pending.poll();
-            if (present) {
+            if (present && !next.exchange().isAnswered()) {
                 accept(next.request(), next.exchange());
             } else {
-                listener.logDeparted(next.request().id());
+                listener.logDropped(next.request().id(), present);
                 next.request().message().release();
             }
         }
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -220,7 +220,8 @@
         UploadTracker tracker =
                 new UploadTracker(
                         connection.loop(), channel, inputLag, length - uploadedBytes, arrivedNanos);
-        exchange.setUpload(new StreamedBody(head.headers(), length, this), tracker);
+        StreamedBody body = new StreamedBody(head.headers(), length, this, request.readAhead());
+        exchange.setUpload(body, tracker);
         uploading = exchange;
         dispatcher.dispatchUpload(request, exchange, arrivedNanos);
     }
@@ -282,7 +283,10 @@
         exchange.respondText(status, message);
     }
 
-    /** Pauses reading. A disconnect goes unnoticed until reading resumes. */
+    /**
+     * Pauses reading: the target takes no more, and no more may be read ahead. A disconnect goes
+     * unnoticed until reading resumes.
+     */
     @Override
     public void pause() {
         activity.onReadPaused();
@@ -320,6 +324,13 @@
         }
     }
 
+    /** Reads on where reading was paused, if more may be read ahead by now. */
+    void retryReadAhead() {
+        if (uploading != null) {
+            uploading.upload().updateBackpressure();
+        }
+    }
+
     /** Drops the request being received, because the connection has closed. */
     void onChannelInactive() {
         buffer.discard();
--- a/sidecar/src/main/java/appleridge/http1/ResponseReader.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponseReader.java
@@ -208,7 +208,12 @@
     }
 
     private boolean startStream(UpstreamCall call) {
-        stream = new StreamedBody(head.headers(), HttpUtil.getContentLength(head, -1L), source);
+        stream =
+                new StreamedBody(
+                        head.headers(),
+                        HttpUtil.getContentLength(head, -1L),
+                        source,
+                        ReadAheadBuffer.unreserved());
         if (head.status().code() != 200 || !call.startResponseStream(stream)) {
             stream = null;
             return false;
--- a/sidecar/src/main/java/appleridge/http1/StreamedBody.java
+++ b/sidecar/src/main/java/appleridge/http1/StreamedBody.java
@@ -8,11 +8,11 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.ArrayDeque;
 
 /**
  * A long request or response body that is passed from one connection to another with backpressure:
- * the source is not read while the target cannot take more. Event loop only.
+ * while the target cannot take more, the source is read ahead as far as {@link ReadAheadBuffer}
+ * allows, and then not read. Event loop only.
  */
 final class StreamedBody implements StreamedResponse {
     /** The connection that the body is read from. */
@@ -48,13 +48,12 @@
     private final HttpHeaders headers;
     private final long length;
     private final Source source;
-
-    /** Parts received before a target is attached. Few, because the source is paused until then. */
-    private final ArrayDeque<ByteBuf> pendingParts = new ArrayDeque<>();
-
+    private final ReadAheadBuffer readAhead;
     private Channel target;
+    private boolean writing;
     private boolean paused;
     private boolean complete;
+    private boolean completionReported;
     private Runnable onComplete = () -> {};
     private boolean discarded;
 
@@ -64,11 +63,13 @@
      * @param headers the headers of the message
      * @param length the length in bytes; negative if it is not known in advance
      * @param source paused and resumed as the target can take less or more
+     * @param readAhead holds what the target cannot take
      */
-    StreamedBody(HttpHeaders headers, long length, Source source) {
+    StreamedBody(HttpHeaders headers, long length, Source source, ReadAheadBuffer readAhead) {
         this.headers = headers;
         this.length = length;
         this.source = source;
+        this.readAhead = readAhead;
     }
 
     /**
@@ -91,14 +92,29 @@
     void write(ByteBuf part) {
         if (discarded) {
             part.release();
-        } else if (target == null) {
-            pendingParts.add(part);
+        } else if (readAhead.isEmpty() && mayWriteToTarget()) {
+            writeToTarget(part);
         } else {
-            target.write(new DefaultHttpContent(part));
+            readAhead.append(part);
         }
         updateBackpressure();
     }
 
+    /**
+     * Writes a part. A write that fills the target calls {@link #updateBackpressure} before it has
+     * returned, when a chunk may have been written in part: nothing may be written from there.
+     */
+    private void writeToTarget(ByteBuf part) {
+        writing = true;
+        target.write(new DefaultHttpContent(part));
+        writing = false;
+    }
+
+    /** What cannot be read ahead is written to a full target too: its source is paused then. */
+    private boolean mayWriteToTarget() {
+        return target != null && (target.isWritable() || !readAhead.isReserving());
+    }
+
     /** Flushes what has been written. */
     void flush() {
         if (target != null && !discarded) {
@@ -116,13 +132,7 @@
     void attachTo(Channel channel, Runnable whenComplete) {
         target = channel;
         onComplete = whenComplete;
-        while (!pendingParts.isEmpty()) {
-            target.write(new DefaultHttpContent(pendingParts.poll()));
-        }
         flush();
-        if (complete) {
-            onComplete.run();
-        }
     }
 
     /** Whether the whole body has arrived. */
@@ -130,9 +140,13 @@
         return complete;
     }
 
-    /** Pauses or resumes the source, depending on whether the target can take more. */
+    /**
+     * Writes to the target what it can take, and pauses or resumes the source, depending on whether
+     * more can be taken or read ahead.
+     */
     void updateBackpressure() {
-        boolean full = !discarded && !complete && (target == null || !target.isWritable());
+        writeHeld();
+        boolean full = !discarded && !complete && !isTargetReady() && !readAhead.reserve();
         if (full != paused) {
             paused = full;
             if (full) {
@@ -143,21 +157,39 @@
         }
     }
 
-    /** Records that the whole body has arrived, and flushes it. */
+    private boolean isTargetReady() {
+        return target != null && target.isWritable() && readAhead.isEmpty();
+    }
+
+    private void writeHeld() {
+        if (target == null || discarded || writing) {
+            return;
+        }
+        boolean anyWritten = false;
+        while (!readAhead.isEmpty() && mayWriteToTarget()) {
+            writeToTarget(readAhead.poll());
+            anyWritten = true;
+        }
+        if (anyWritten) {
+            target.flush();
+        }
+        if (complete && readAhead.isEmpty() && !completionReported) {
+            completionReported = true;
+            onComplete.run();
+        }
+    }
+
+    /** Records that the whole body has arrived, and flushes it as far as the target takes it. */
     void complete() {
         flush();
         complete = true;
         updateBackpressure();
-        if (target != null && !discarded) {
-            onComplete.run();
-        }
     }
 
-    /** Discards buffered and further parts of the body. */
+    /** Discards buffered and further parts of the body. Further calls have no effect. */
     void discard() {
         discarded = true;
-        pendingParts.forEach(ByteBuf::release);
-        pendingParts.clear();
+        readAhead.discard();
         updateBackpressure();
     }
 }
--- a/sidecar/src/main/java/appleridge/request/BufferBudget.java
+++ b/sidecar/src/main/java/appleridge/request/BufferBudget.java
@@ -13,6 +13,12 @@
     /** An account may hold the free bytes divided by this: alone, a fifth of the budget. */
     private static final int FREE_BYTES_PER_ACCOUNT_BYTE = 4;
 
+    /** The fraction of the budget that is spare at most: for bytes that nobody has to hold. */
+    private static final double MAX_SPARE_FRACTION = 2.0 / 3;
+
+    /** The fraction of the budget up to which bytes of all kinds leave something to spare. */
+    private static final double MAX_USED_FRACTION_FOR_SPARE = 5.0 / 6;
+
     private final long limitBytes;
     private final EventLog log;
     private final long[] usedByKind = new long[BufferKind.values().length];
@@ -84,6 +90,13 @@
                                 + usedByKindFields());
     }
 
+    /** How many bytes of a kind may be added that nobody has to hold; negative if too many are. */
+    private long spareBytes(BufferKind kind) {
+        long spareOfKind = (long) (limitBytes * MAX_SPARE_FRACTION) - usedBytes(kind);
+        long spareOfAll = (long) (limitBytes * MAX_USED_FRACTION_FOR_SPARE) - usedBytes;
+        return Math.min(spareOfKind, spareOfAll);
+    }
+
     private String usedByKindFields() {
         StringJoiner fields = new StringJoiner(" ", " ", "");
         Arrays.stream(BufferKind.values())
@@ -149,11 +162,30 @@
                 refused(newKind, newBytes, account.accountBytes);
                 return false;
             }
+            set(newKind, newBytes);
+            return true;
+        }
+
+        /**
+         * Raises the number of reserved bytes within what the others leave to spare. To be used for
+         * bytes that nobody has to hold: an account gets at most as many as are left, so that
+         * others still get some. Returns false, and changes nothing, if there is not that much;
+         * this is no refusal.
+         */
+        public boolean resizeWithinSpare(long newBytes) {
+            long added = newBytes - bytes;
+            if (account.accountBytes + added > spareBytes(kind)) {
+                return false;
+            }
+            set(kind, newBytes);
+            return true;
+        }
+
+        private void set(BufferKind newKind, long newBytes) {
             account.add(kind, -bytes);
             account.add(newKind, newBytes);
             kind = newKind;
             bytes = newBytes;
-            return true;
         }
 
         /** Releases all bytes. Further calls have no effect. */
--- a/sidecar/src/main/java/appleridge/request/BufferKind.java
+++ b/sidecar/src/main/java/appleridge/request/BufferKind.java
@@ -8,6 +8,8 @@
     REQUESTS("requests"),
     /** Requests that are streamed to an upstream host. */
     STREAMED_REQUESTS("streamed_requests"),
+    /** Bodies of streamed requests that are read ahead of their upstream host. */
+    READ_AHEAD("read_ahead"),
     /** Responses of which the last byte has not arrived. */
     PARTIAL_RESPONSES("partial_responses"),
     /** Whole responses that wait for the responses before them on the same connection. */
--- a/sidecar/src/test/java/appleridge/daemon/StreamedRequestsTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/StreamedRequestsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import appleridge.http1.BufferLimits;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -27,6 +28,9 @@
     private static final int MAX_BUFFERED_BYTES = 64 * 1024;
     private static final int MAX_BODY_BYTES = 32 << 20;
 
+    /** What the deploy file gives; an eighth of the longest body may be read ahead with it. */
+    private static final int DEPLOYED_HEAP_BYTES = 48 << 20;
+
     /** Handles a connection on which a request head has arrived. */
     private interface Script {
         void serve(Socket socket, String head) throws IOException, InterruptedException;
@@ -253,7 +257,11 @@
         try (BodyReadingUpstream reader =
                         new BodyReadingUpstream(
                                 (socket, head) -> Thread.sleep(TimeUnit.SECONDS.toMillis(15)));
-                LoopbackSidecar sidecar = start(reader);
+                LoopbackSidecar sidecar =
+                        new LoopbackSidecar(
+                                LoopbackSidecar.SettingValues.DEFAULT.withBufferLimits(
+                                        BufferLimits.ofHeap(DEPLOYED_HEAP_BYTES)),
+                                reader.target());
                 TestClient client = new TestClient(sidecar.runner.address())) {
             client.send(head("pay", "3.0", "Content-Length: " + MAX_BODY_BYTES));
             Thread writer =
--- a/sidecar/src/test/java/appleridge/request/BufferBudgetTest.java
+++ b/sidecar/src/test/java/appleridge/request/BufferBudgetTest.java
@@ -82,6 +82,46 @@
                 logged);
     }
 
+    private BufferBudget.Reservation optional() {
+        return budget.newAccount().reserve(BufferKind.READ_AHEAD);
+    }
+
+    private static long takeAllThatIsSpare(BufferBudget.Reservation reservation) {
+        while (reservation.resizeWithinSpare(reservation.bytes() + 1)) {
+            continue;
+        }
+        return reservation.bytes();
+    }
+
+    /** Guards against bytes that nobody has to hold, and that crowd out what must be held. */
+    @Test
+    void spareBytesLeaveAPartOfTheBudgetToWhatMustBeHeld() {
+        assertEquals(333, takeAllThatIsSpare(optional()), "half of what is spare");
+        for (int i = 0; i < 100; i++) {
+            takeAllThatIsSpare(optional());
+        }
+        assertTrue(budget.usedBytes() <= 666, "used: " + budget.usedBytes());
+        assertTrue(reservation().resize(80));
+        assertEquals(0, budget.refusals(), "what is not spare is no refusal");
+    }
+
+    /** Guards against a late client for whom nothing is left to spare. */
+    @Test
+    void spareBytesAreLeftForAnotherAccount() {
+        for (int i = 0; i < 5; i++) {
+            assertTrue(takeAllThatIsSpare(optional()) > 0);
+        }
+    }
+
+    /** Guards against optional bytes in a budget that is nearly used up. */
+    @Test
+    void nothingIsSpareWhereTheBudgetIsNearlyUsedUp() {
+        for (int i = 0; i < 40; i++) {
+            reservation().resize((LIMIT - budget.usedBytes()) / 4);
+        }
+        assertEquals(0, takeAllThatIsSpare(optional()));
+    }
+
     @Test
     void reservationCanAlwaysShrinkAndIsReleasedOnce() {
         BufferBudget.Account account = budget.newAccount();
