--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -155,6 +155,11 @@
                 : earliestRead;
     }
 
+    /** For how long it has not been known that all that the client had sent was read. */
+    long clientSeenAgoNanos() {
+        return loop().nanoTime() - inputLag.caughtUpNanos();
+    }
+
     /** The responses that are written but not yet accepted by the kernel. */
     WriteBacklog writeBacklog() {
         return responses.backlog();
--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -173,6 +173,11 @@
         }
     }
 
+    @Override
+    public long clientSeenAgoNanos() {
+        return connection.clientSeenAgoNanos();
+    }
+
     @Override
     public boolean reserveStream() {
         responseReservation = connection.reserveResponse(BufferKind.STREAMED_RESPONSES);
--- a/sidecar/src/main/java/appleridge/http1/ClientListener.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientListener.java
@@ -226,6 +226,7 @@
      *     malformed rest of the request
      */
     void logDropped(String requestId, boolean clientPresent) {
+        coordinator.onRequestDropped(requestId);
         String reason = clientPresent ? "malformed" : "client_disconnected";
         loop.log()
                 .event(
--- a/sidecar/src/main/java/appleridge/http1/GracefulDrain.java
+++ b/sidecar/src/main/java/appleridge/http1/GracefulDrain.java
@@ -112,6 +112,7 @@
 
     private void closeRemaining() {
         logStep("deadline");
+        coordinator.flushLog();
         connections.snapshot().forEach(ClientConnection::closeUnlessRequestOpen);
     }
 
@@ -131,6 +132,7 @@
                         if (isDrained()) {
                             Runnable callback = onDrained;
                             onDrained = null;
+                            coordinator.flushLog();
                             callback.run();
                         }
                     });
--- a/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
@@ -73,6 +73,16 @@
                 && deadlines.responseByNanos() - now >= MIN_REMAINING_NANOS;
     }
 
+    /** Whether the first byte may be written now; if not, {@code resume} may run later. */
+    boolean mayBegin(Runnable resume) {
+        return listener.mayBegin(resume) && !ended;
+    }
+
+    /** Whether the attempt has ended. */
+    boolean hasEnded() {
+        return ended;
+    }
+
     /**
      * Whether there is a time after which the last byte must not be written, even though the
      * response is still awaited.
--- a/sidecar/src/main/java/appleridge/http1/UpstreamConnectionPool.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamConnectionPool.java
@@ -97,6 +97,11 @@
             SendDeadlines deadlines,
             AttemptListener listener) {
         UpstreamCall call = new UpstreamCall((HttpUpstreamRequest) request, deadlines, listener);
+        findConnection(endpoint, call);
+        return call;
+    }
+
+    private void findConnection(Endpoint endpoint, UpstreamCall call) {
         UpstreamConnection pooled = takeIdle(endpoint);
         if (pooled != null) {
             sendOn(pooled, call);
@@ -105,7 +110,6 @@
         } else {
             connect(endpoint, call);
         }
-        return call;
     }
 
     private void connect(Endpoint endpoint, UpstreamCall call) {
@@ -147,13 +151,24 @@
                         }));
     }
 
-    /** Sends a request, unless its deadline has passed while the connection was opened. */
+    /**
+     * Sends a request, unless its deadline has passed while the connection was opened, or it may
+     * not begin yet: then the connection is free for others.
+     */
     private void sendOn(UpstreamConnection connection, UpstreamCall call) {
-        if (call.mayWriteFirstByte(loop.nanoTime())) {
+        if (!call.mayWriteFirstByte(loop.nanoTime())) {
+            connection.keep();
+            loop.execute(() -> call.end(Outcome.NEVER_SENT, null));
+        } else if (call.mayBegin(() -> resume(connection.endpoint(), call))) {
             connection.send(call);
         } else {
             connection.keep();
-            loop.execute(() -> call.end(Outcome.NEVER_SENT, null));
+        }
+    }
+
+    private void resume(Endpoint endpoint, UpstreamCall call) {
+        if (!call.hasEnded()) {
+            findConnection(endpoint, call);
         }
     }
 
--- a/sidecar/src/main/java/appleridge/request/AttemptTracker.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptTracker.java
@@ -36,6 +36,7 @@
     private final EndpointDirectory endpoints;
     private final RequestAccounting accounting;
     private final StallReconciler reconciler;
+    private final RequestLog log;
     private final Listener listener;
 
     AttemptTracker(
@@ -46,6 +47,7 @@
             EndpointDirectory endpoints,
             RequestAccounting accounting,
             StallReconciler reconciler,
+            RequestLog log,
             Listener listener) {
         this.clock = clock;
         this.scheduler = scheduler;
@@ -54,6 +56,7 @@
         this.endpoints = endpoints;
         this.accounting = accounting;
         this.reconciler = reconciler;
+        this.log = log;
         this.listener = listener;
     }
 
@@ -214,6 +217,12 @@
             reconciler.reconcile();
         }
 
+        @Override
+        public boolean mayBegin(Runnable resume) {
+            log.begun(attempt);
+            return true;
+        }
+
         @Override
         public boolean onResponseStarted(StreamedResponse response) {
             reconciler.reconcile();
--- a/sidecar/src/main/java/appleridge/request/LogEvent.java
+++ b/sidecar/src/main/java/appleridge/request/LogEvent.java
@@ -20,6 +20,8 @@
     UPSTREAM_CONNECTION_CLOSED("upstream_connection.closed"),
     /** The sidecar starts to accept new connections, or leaves them in the accept queue. */
     ACCEPT_GATE("accept_gate.changed"),
+    /** Decisions on whether requests are sent; {@link DecisionLog} bounds them. */
+    REQUEST_DECISIONS("request.decisions", true),
     /** Bytes were refused to a peer, because too many are buffered. */
     BUFFER_LIMIT("buffers.limit_reached"),
     /** The graceful shutdown reached its next step. */
@@ -43,8 +45,8 @@
     }
 
     /**
-     * Whether the event is exempt from the rate limit: a process logs only a few of them, in close
-     * succession.
+     * Whether the event is exempt from the rate limit: a process logs only a few of them, or their
+     * source limits them.
      */
     public boolean isAlwaysWritten() {
         return always;
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -34,6 +34,7 @@
 public final class RequestCoordinator {
     private final MonotonicClock clock;
     private final PolicySettings settings;
+    private final RequestLog requestLog;
     private final RequestAccounting accounting;
     private final DeferredRequests deferred;
     private final EndpointDirectory endpoints;
@@ -63,7 +64,7 @@
             Function<PolicyActions, LoadBalancingPolicy> policy) {
         this.clock = clock;
         this.settings = settings;
-        RequestLog requestLog = new RequestLog(clock, log);
+        this.requestLog = new RequestLog(clock, log);
         this.accounting = new RequestAccounting(maxOpenRequests, settings, clock, requestLog);
         this.deferred = new DeferredRequests(clock, scheduler, requestLog);
         this.endpoints = new EndpointDirectory(transport);
@@ -91,6 +92,7 @@
                         endpoints,
                         accounting,
                         reconciler,
+                        requestLog,
                         attemptEvents);
         attemptEvents.attach(attempts);
         this.actions = newActions(scheduler, log);
@@ -220,6 +222,17 @@
      */
     public void tick() {
         reconciler.tick();
+        requestLog.flushIfDue(reconciler.lastEventNanos());
+    }
+
+    /** Logs that a request is dropped before {@link #accept}. */
+    public void onRequestDropped(String requestId) {
+        requestLog.dropped(requestId);
+    }
+
+    /** Writes all decisions that are recorded and not logged yet. */
+    public void flushLog() {
+        requestLog.flush();
     }
 
     /**
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -1,6 +1,8 @@
 package appleridge.request;
 
 import appleridge.loadbalancing.Outcome;
+import appleridge.request.DecisionLog.Decision;
+import appleridge.request.RequestMetrics.RequestEnd;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -10,10 +12,50 @@
 final class RequestLog {
     private final MonotonicClock clock;
     private final EventLog log;
+    private final DecisionLog decisions;
 
     RequestLog(MonotonicClock clock, EventLog log) {
         this.clock = clock;
         this.log = log;
+        this.decisions = new DecisionLog(clock, log);
+    }
+
+    /** Logs that the first byte of an attempt is about to be written. */
+    void begun(Attempt attempt) {
+        record(Decision.BEGUN, attempt);
+    }
+
+    /** Logs that a request is dropped before it is accepted. */
+    void dropped(String requestId) {
+        decisions.record(Decision.DROPPED, requestId, -1, DecisionLog.NEVER_SEEN, clock.nanoTime());
+    }
+
+    private void record(Decision decision, Attempt attempt) {
+        PendingRequest request = attempt.request();
+        decisions.record(
+                decision,
+                request.clientRequest().id(),
+                attempt.number(),
+                request.client().clientSeenAgoNanos(),
+                clock.nanoTime());
+    }
+
+    private void recordEnd(ClientRequest request, EndReason reason, long seenAgo, long nowNanos) {
+        if (reason.end() == RequestEnd.REJECTED) {
+            decisions.record(Decision.REJECTED, request.id(), -1, seenAgo, nowNanos);
+        } else if (reason.end() == RequestEnd.CLIENT_DISCONNECTED) {
+            decisions.record(Decision.DISCONNECTED, request.id(), -1, seenAgo, nowNanos);
+        }
+    }
+
+    /** Writes decisions that have waited for long enough for others to share their line. */
+    void flushIfDue(long nowNanos) {
+        decisions.flushIfDue(nowNanos);
+    }
+
+    /** Writes all decisions that have been recorded. */
+    void flush() {
+        decisions.flush();
     }
 
     /**
@@ -22,6 +64,7 @@
      * @param nowNanos the time of the event that ended the request
      */
     void ended(PendingRequest request, EndReason reason, long nowNanos) {
+        recordEnd(request.clientRequest(), reason, request.client().clientSeenAgoNanos(), nowNanos);
         if (isLogged(request.clientRequest(), reason, nowNanos)) {
             log.event(
                     LogEvent.REQUEST_ENDED,
@@ -60,6 +103,7 @@
 
     /** Logs the end of a request that ended on its arrival. */
     void ended(ClientRequest request, EndReason reason, long nowNanos) {
+        recordEnd(request, reason, DecisionLog.NEVER_SEEN, nowNanos);
         log.event(
                 LogEvent.REQUEST_ENDED,
                 () ->
@@ -94,6 +138,11 @@
 
     /** Logs the end of an attempt, unless it brought a usable response. */
     void ended(Attempt attempt, Outcome outcome) {
+        if (outcome == Outcome.CANCELLED) {
+            record(Decision.CANCELLED, attempt);
+        } else if (outcome == Outcome.NEVER_SENT) {
+            record(Decision.UNSENT, attempt);
+        }
         if (outcome != Outcome.OK) {
             log.event(
                     LogEvent.ATTEMPT_ENDED,
--- a/sidecar/src/main/java/appleridge/request/ResponseSink.java
+++ b/sidecar/src/main/java/appleridge/request/ResponseSink.java
@@ -12,6 +12,12 @@
      */
     void readPendingInput();
 
+    /**
+     * For how long the client has not been known to be there, in nanoseconds; {@link
+     * Long#MAX_VALUE} if it never was.
+     */
+    long clientSeenAgoNanos();
+
     /**
      * How far the client has sent a request whose body is streamed. Called only for such requests.
      */
--- a/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
+++ b/sidecar/src/main/java/appleridge/request/UpstreamTransport.java
@@ -14,6 +14,16 @@
          */
         default void onConnected() {}
 
+        /**
+         * Called right before the first byte is written. The attempt may be cancelled in here.
+         *
+         * @param resume continues the attempt where this returns false, unless it has ended
+         * @return whether to write the attempt
+         */
+        default boolean mayBegin(Runnable resume) {
+            return true;
+        }
+
         /**
          * The first part of a successful response that is, or may be, too long to be buffered has
          * arrived. If the response is streamed, {@link SendDeadlines#responseByNanos} no longer
--- a/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
+++ b/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
@@ -134,6 +134,11 @@
         @Override
         public void readPendingInput() {}
 
+        @Override
+        public long clientSeenAgoNanos() {
+            return 0;
+        }
+
         @Override
         public void onServed(UpstreamResponse response) {
             responses.add("served");
