--- a/sidecar/src/main/java/appleridge/admin/protocol/AdminServer.java
+++ b/sidecar/src/main/java/appleridge/admin/protocol/AdminServer.java
@@ -2,7 +2,7 @@
 
 import appleridge.admin.AdminCallHandler;
 import appleridge.request.Scheduler;
-import appleridge.transport.AcceptFailureHandler;
+import appleridge.transport.AcceptHandler;
 import appleridge.transport.SidecarEventLoop;
 import appleridge.transport.SocketFactory;
 import io.netty.bootstrap.ServerBootstrap;
@@ -66,7 +66,7 @@
                 new ServerBootstrap()
                         .group(loop.executor(), loop.executor())
                         .channelFactory(sockets::newServerChannel)
-                        .handler(new AcceptFailureHandler(loop, this::onAcceptFailed))
+                        .handler(new AcceptHandler(loop, this::onAcceptFailed))
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/sidecar/src/main/java/appleridge/http1/AcceptGate.java
+++ b/sidecar/src/main/java/appleridge/http1/AcceptGate.java
@@ -1,6 +1,7 @@
 package appleridge.http1;
 
 import appleridge.request.LogEvent;
+import appleridge.transport.LoopActivity;
 import appleridge.transport.SidecarEventLoop;
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,15 @@
     private long changeCount;
     private long lastRoomNanos;
 
+    /** Whether nothing was left in the backlog when it was last accepted from. */
+    private boolean backlogEmptied;
+
+    /** Whether the backlog has been empty since accepting was resumed. */
+    private boolean openingKnown;
+
+    /** A time before which none of the connections in the backlog had been opened. */
+    private long openedAfterNanos;
+
     /**
      * Creates a gate, to be attached to a listener.
      *
@@ -81,6 +91,34 @@
         return rejects;
     }
 
+    /**
+     * Records the end of an accept.
+     *
+     * @param emptied whether it left nothing in the backlog
+     */
+    void onAcceptComplete(boolean emptied) {
+        backlogEmptied = emptied && accepting;
+    }
+
+    /** Records that nothing is accepted for a while, so that connections wait in the backlog. */
+    void onAcceptFailed() {
+        backlogEmptied = false;
+        openingKnown = false;
+    }
+
+    /**
+     * How long ago at most a connection that is being accepted has been opened: since the event
+     * loop last found the backlog empty.
+     */
+    long openedWithinNanos() {
+        if (backlogEmptied) {
+            backlogEmptied = false;
+            openingKnown = true;
+            openedAfterNanos = loop.nanoTime() - loop.maxUnreadInputNanos();
+        }
+        return openingKnown ? loop.nanoTime() - openedAfterNanos : LoopActivity.UNKNOWN_NANOS;
+    }
+
     /** Updates the gate after the open connections or their limit have changed. */
     void onConnectionsChanged() {
         if (hasRoom.getAsBoolean()) {
@@ -95,6 +133,8 @@
                 !stopped && !paused && (windowOpen ? rejectionsLeft > 0 : hasRoom.getAsBoolean());
         if (accepts != accepting) {
             accepting = accepts;
+            backlogEmptied = false;
+            openingKnown = false;
             changeCount++;
             logChange(accepts);
         }
--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import appleridge.request.BufferBudget;
 import appleridge.request.BufferKind;
+import appleridge.request.ClientPresence;
 import appleridge.transport.SidecarEventLoop;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -32,6 +33,7 @@
     private final ReadActivityHandler readActivity;
     private final ClientActivity activity;
     private final InputLagTracker inputLag;
+    private final ClientPresenceTracker presence;
     private final LingeringClose closing;
     private final ResponsePipeline responses;
     private final RequestIntake intake;
@@ -57,6 +59,9 @@
                         channel,
                         listener.coordinator()::earliestArrivalNanos,
                         this::readPendingInput);
+        this.presence =
+                new ClientPresenceTracker(
+                        loop(), channel, listener.openedWithinNanos(), this::readPendingInput);
         this.closing = new LingeringClose(channel, readActivity, loop());
         this.responses =
                 new ResponsePipeline(this, listener, channel, readActivity, activity, closing);
@@ -68,6 +73,7 @@
                         decoder,
                         activity,
                         inputLag,
+                        presence,
                         closing,
                         responses,
                         new RequestDispatcher(listener, this, readActivity),
@@ -90,6 +96,14 @@
     public void channelActive(ChannelHandlerContext ctx) {
         listener.onConnectionOpened(this);
         ctx.fireChannelActive();
+        loop().execute(this::readFirstInput);
+    }
+
+    /** What the client has sent with the connection is read in the turn that accepts it. */
+    private void readFirstInput() {
+        if (isReadable() && readActivity.readCount() == 0) {
+            listener.readNow(channel);
+        }
     }
 
     @Override
@@ -133,6 +147,10 @@
         return listener.loop();
     }
 
+    BufferBudgets buffers() {
+        return listener.buffers();
+    }
+
     ResponsePipeline responses() {
         return responses;
     }
@@ -155,9 +173,25 @@
                 : earliestRead;
     }
 
-    /** For how long it has not been known that all that the client had sent was read. */
+    /** What is known of the client now; reads pending input if that is needed to know it. */
+    ClientPresence clientPresence() {
+        if (channel.isActive() && !presence.isSeen(loop().nanoTime())) {
+            readPendingInput();
+        }
+        if (!channel.isActive()) {
+            return ClientPresence.DISCONNECTED;
+        }
+        return presence.isSeen(loop().nanoTime()) ? ClientPresence.PRESENT : ClientPresence.UNKNOWN;
+    }
+
+    /** Runs a task once more may be known of the client; it may never run. */
+    void whenMoreIsKnownOfClient(Runnable task) {
+        presence.whenMoreIsKnown(task);
+    }
+
+    /** For how long the client has not been known to be there; {@link Long#MAX_VALUE} if never. */
     long clientSeenAgoNanos() {
-        return loop().nanoTime() - inputLag.caughtUpNanos();
+        return presence.seenAgoNanos(loop().nanoTime());
     }
 
     /** The responses that are written but not yet accepted by the kernel. */
@@ -185,12 +219,25 @@
      */
     boolean readPendingInput() {
         long startNanos = loop().nanoTime();
-        do {
+        long beforeReadNanos = startNanos;
+        inputDrained = !readMoreInput();
+        while (!inputDrained) {
+            beforeReadNanos = loop().nanoTime();
+            if (beforeReadNanos - startNanos >= MAX_READ_NANOS) {
+                break;
+            }
             inputDrained = !readMoreInput();
-        } while (!inputDrained && loop().nanoTime() - startNanos < MAX_READ_NANOS);
+        }
+        if (inputDrained && isReadable()) {
+            presence.onNothingToRead(beforeReadNanos);
+        }
         return channel.isActive();
     }
 
+    private boolean isReadable() {
+        return channel.isActive() && channel.config().isAutoRead() && !readActivity.isDelivering();
+    }
+
     /** Whether {@link #readPendingInput} left nothing unread. */
     boolean isInputDrained() {
         return inputDrained;
@@ -198,7 +245,7 @@
 
     /** Reads once from the socket; returns whether there was any input and there may be more. */
     private boolean readMoreInput() {
-        if (!channel.isActive() || !channel.config().isAutoRead() || readActivity.isDelivering()) {
+        if (!isReadable()) {
             return false;
         }
         long readsBefore = readActivity.readCount();
--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -1,7 +1,9 @@
 package appleridge.http1;
 
+import appleridge.request.AcceptedRequest;
 import appleridge.request.BufferBudget;
 import appleridge.request.BufferKind;
+import appleridge.request.ClientPresence;
 import appleridge.request.ResponseSink;
 import appleridge.request.StreamedResponse;
 import appleridge.request.UploadProgress;
@@ -44,7 +46,7 @@
     /** Null unless bytes are reserved for a response that waits or is streamed. */
     private BufferBudget.Reservation responseReservation;
 
-    private Runnable cancellation = () -> {};
+    private AcceptedRequest accepted = AcceptedRequest.ENDED;
 
     /**
      * Creates an exchange without a response.
@@ -58,15 +60,28 @@
         this.chunkedAllowed = chunkedAllowed;
     }
 
-    /** Sets the task that cancels the request when its client disconnects. */
-    void onCancel(Runnable newCancellation) {
-        cancellation = newCancellation;
+    /** Sets the request once it has been accepted. */
+    void onAccepted(AcceptedRequest request) {
+        accepted = request;
+    }
+
+    /** Rejects the request unless a part of it has been sent, and drops the rest of its body. */
+    void giveUp() {
+        accepted.giveUp();
+        if (isAnswered()) {
+            upload.discard();
+        }
+    }
+
+    /** Whether a streamed request body waits for an upstream. */
+    boolean isUploadWaiting() {
+        return upload != null && !isAnswered() && !upload.hasTarget();
     }
 
     /** Cancels the request. Further calls have no effect. */
     void cancel() {
-        cancellation.run();
-        cancellation = () -> {};
+        accepted.onClientDisconnected();
+        accepted = AcceptedRequest.ENDED;
     }
 
     /** Sets the streamed request body. */
@@ -154,7 +169,7 @@
 
     /** Cancels the request and discards streamed bodies, because the client has disconnected. */
     void onConnectionClosed() {
-        cancellation.run();
+        accepted.onClientDisconnected();
         if (responseStream != null) {
             responseStream.discard();
         }
@@ -169,10 +184,24 @@
         if (!connection.readPendingInput()) {
             // Netty reports the end of a connection in a later task. Without cancelling here, the
             // caller would send an attempt for a client that has already disconnected.
-            cancellation.run();
+            accepted.onClientDisconnected();
         }
     }
 
+    @Override
+    public ClientPresence clientPresence() {
+        ClientPresence presence = connection.clientPresence();
+        if (presence == ClientPresence.DISCONNECTED) {
+            accepted.onClientDisconnected();
+        }
+        return presence;
+    }
+
+    @Override
+    public void whenMoreIsKnownOfClient(Runnable task) {
+        connection.whenMoreIsKnownOfClient(task);
+    }
+
     @Override
     public long clientSeenAgoNanos() {
         return connection.clientSeenAgoNanos();
--- a/sidecar/src/main/java/appleridge/http1/ClientListener.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientListener.java
@@ -5,7 +5,7 @@
 import appleridge.request.LogText;
 import appleridge.request.RequestCoordinator;
 import appleridge.request.Scheduler;
-import appleridge.transport.AcceptFailureHandler;
+import appleridge.transport.AcceptHandler;
 import appleridge.transport.EventLoopMonitor;
 import appleridge.transport.InheritedListener;
 import appleridge.transport.SidecarEventLoop;
@@ -38,6 +38,9 @@
     /** Connections accepted between two checks of the limit, and so the most in excess of it. */
     private static final int MAX_ACCEPTS_PER_READ = 4;
 
+    /** Connections accepted in a row, behind which the other connections have their turn. */
+    private static final int MAX_ACCEPTS_PER_TURN = 12;
+
     /** The length of the kernel's backlog of connections that are not accepted yet. */
     private static final int LISTEN_BACKLOG = 1024;
 
@@ -56,6 +59,7 @@
     private final Scheduler.ScheduledTask stallTicks;
     private Channel listener;
     private boolean listenerInherited;
+    private int acceptedInRow;
     private boolean warmedUp;
 
     /**
@@ -109,7 +113,7 @@
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap()
                 .group(loop.executor(), loop.executor())
-                .handler(new AcceptFailureHandler(loop, this::onAcceptFailed))
+                .handler(new AcceptHandler(loop, this::onAcceptFailed, this::onAcceptComplete))
                 .option(ChannelOption.SO_BACKLOG, LISTEN_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -162,6 +166,11 @@
         return loop;
     }
 
+    /** How long ago at most a connection that is being accepted has been opened. */
+    long openedWithinNanos() {
+        return acceptGate.openedWithinNanos();
+    }
+
     RequestCoordinator coordinator() {
         return coordinator;
     }
@@ -239,6 +248,24 @@
         connections.logClosed(reason);
     }
 
+    /** Accepts on in the same turn of the loop, so that few connections wait for its end. */
+    private void onAcceptComplete(int accepted) {
+        boolean emptied = accepted < MAX_ACCEPTS_PER_READ;
+        acceptGate.onAcceptComplete(emptied);
+        acceptedInRow += accepted;
+        if (emptied || acceptedInRow >= MAX_ACCEPTS_PER_TURN) {
+            acceptedInRow = 0;
+        } else {
+            loop.execute(this::acceptMore);
+        }
+    }
+
+    private void acceptMore() {
+        if (listener.isActive() && listener.config().isAutoRead()) {
+            sockets.readNow(listener);
+        }
+    }
+
     /**
      * Handles an accept that failed for lack of descriptors although the limit leaves room: evicts
      * one connection and resumes accepting after a delay. An immediate retry would fail again and
@@ -246,6 +273,7 @@
      */
     private void onAcceptFailed() {
         listener.config().setAutoRead(false);
+        acceptGate.onAcceptFailed();
         connections.evictOne();
         loop.schedule(ACCEPT_RETRY_NANOS, acceptGate::update);
     }
--- a/sidecar/src/main/java/appleridge/http1/InputLagTracker.java
+++ b/sidecar/src/main/java/appleridge/http1/InputLagTracker.java
@@ -3,53 +3,20 @@
 import appleridge.request.MonotonicClock;
 import appleridge.request.Scheduler;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
- * Tracks up to when all that a client has sent is known to have been read.
- *
- * <p>While reading is paused, the receive window closes, and what the client sends stays in its own
- * system's send buffer. Reading is behind then, and an empty socket proves nothing: its read opens
- * the window, and only then does the client's system send the rest. Reading has caught up again
- * when the window has been open for {@link #WINDOW_OPEN_NANOS} and too little has arrived in that
- * time to have closed it: a system with unsent bytes would have filled it at once. This depends on
- * the systems alone, so a stall of the event loop or of the client proves nothing either way. Event
- * loop only.
+ * Tracks up to when all that a client has sent is known to have been read, where reading may have
+ * been paused; see {@link ReceiveWindowWatch}. Event loop only.
  */
 final class InputLagTracker {
-    /**
-     * How long the window is open before silence proves that the client's system has nothing
-     * unsent. Longer than the 40 ms for which an acknowledgement may be delayed that the sender
-     * waits for (Nagle's algorithm).
-     */
-    static final long WINDOW_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
-    /** A window that fills brings at least the receive buffer's size divided by this. */
-    private static final int MIN_WINDOW_DIVISOR = 4;
-
-    /** Used where the size of the receive buffer is not known; the minimum of Linux. */
-    private static final int MIN_RECEIVE_BUFFER_BYTES = 2304;
-
-    private final MonotonicClock clock;
-    private final Scheduler scheduler;
-    private final Channel channel;
     private final LongSupplier earliestArrivalNanos;
-    private final Runnable readPendingInput;
+    private final ReceiveWindowWatch window;
     private long caughtUpNanos;
-    private boolean behind;
 
     /** Whether the last read left nothing in the socket. */
     private boolean drained = true;
 
-    /** Whether the socket has been read empty since reading was resumed. */
-    private boolean windowOpen;
-
-    private long windowOpenedNanos;
-    private long bytesReadBeforeWindowOpened;
-    private boolean checkScheduled;
-
     /**
      * Creates a tracker of a new connection, which is not behind.
      *
@@ -65,17 +32,20 @@
             Channel channel,
             LongSupplier earliestArrivalNanos,
             Runnable readPendingInput) {
-        this.clock = clock;
-        this.scheduler = scheduler;
-        this.channel = channel;
         this.earliestArrivalNanos = earliestArrivalNanos;
-        this.readPendingInput = readPendingInput;
+        this.window =
+                new ReceiveWindowWatch(
+                        clock,
+                        scheduler,
+                        channel,
+                        readPendingInput,
+                        ReceiveWindowWatch.WINDOW_OPEN_NANOS);
         this.caughtUpNanos = openedNanos;
     }
 
     /** Whether the client may have sent bytes that reading has not reached, because it paused. */
     boolean isBehind() {
-        return behind;
+        return window.isBehind();
     }
 
     /** The latest time at which all that the client had sent is known to have been read. */
@@ -85,8 +55,7 @@
 
     /** Records that reading pauses. */
     void onPaused() {
-        behind = true;
-        windowOpen = false;
+        window.begin();
     }
 
     /**
@@ -94,7 +63,7 @@
      * read.
      */
     void onRead() {
-        if (drained && !behind) {
+        if (drained && !window.isBehind()) {
             caughtUpNanos = Math.max(caughtUpNanos, earliestArrivalNanos.getAsLong());
         }
         drained = false;
@@ -112,48 +81,9 @@
         if (!drained) {
             return;
         }
-        if (behind) {
-            watchWindow(now, bytesRead);
-        }
-        if (!behind) {
+        window.onDrained(now, bytesRead);
+        if (!window.isBehind()) {
             caughtUpNanos = now;
         }
     }
-
-    private void watchWindow(long now, long bytesRead) {
-        if (!windowOpen || bytesRead - bytesReadBeforeWindowOpened >= minWindowBytes()) {
-            windowOpen = true;
-            windowOpenedNanos = now;
-            bytesReadBeforeWindowOpened = bytesRead;
-            scheduleCheck();
-        } else if (now - windowOpenedNanos >= WINDOW_OPEN_NANOS) {
-            behind = false;
-        }
-    }
-
-    private long minWindowBytes() {
-        Integer receiveBuffer = channel.config().getOption(ChannelOption.SO_RCVBUF);
-        return (receiveBuffer == null ? MIN_RECEIVE_BUFFER_BYTES : receiveBuffer)
-                / MIN_WINDOW_DIVISOR;
-    }
-
-    /** Without the check a client that sends a full window now and then would look behind. */
-    private void scheduleCheck() {
-        if (!checkScheduled) {
-            checkScheduled = true;
-            scheduler.scheduleAt(windowOpenedNanos + WINDOW_OPEN_NANOS, this::check);
-        }
-    }
-
-    private void check() {
-        checkScheduled = false;
-        if (!windowOpen || !behind || !channel.isActive()) {
-            return;
-        }
-        if (clock.nanoTime() - windowOpenedNanos >= WINDOW_OPEN_NANOS) {
-            readPendingInput.run();
-        } else {
-            scheduleCheck();
-        }
-    }
 }
--- a/sidecar/src/main/java/appleridge/http1/MessageFraming.java
+++ b/sidecar/src/main/java/appleridge/http1/MessageFraming.java
@@ -25,10 +25,10 @@
     static final int MAX_HEADER_LINES = 100;
 
     /**
-     * The memory of a streamed body: what is received before it has a target, one read, and the
-     * target's write buffer with one read in excess of its limit.
+     * The memory of a streamed body: what is received before it has a target, with one read and
+     * half a chunk to copy it to. Later the target's write buffer needs less.
      */
-    static final int STREAM_MEMORY_BYTES = 128 << 10;
+    static final int STREAM_MEMORY_BYTES = 112 << 10;
 
     /** The longest body that is streamed. Messages with a longer body are rejected. */
     static final long MAX_STREAMED_BODY_BYTES = 32 << 20;
--- a/sidecar/src/main/java/appleridge/http1/ReadAheadBuffer.java
+++ b/sidecar/src/main/java/appleridge/http1/ReadAheadBuffer.java
@@ -1,6 +1,6 @@
 package appleridge.http1;
 
-import appleridge.request.BufferBudget;
+import appleridge.request.ReadAheadQueue;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.ArrayDeque;
@@ -13,12 +13,14 @@
     private static final int CHUNK_BYTES = 16 << 10;
 
     /** Null if nothing is reserved. */
-    private final BufferBudget.Reservation reservation;
+    private final ReadAheadQueue.Ticket ticket;
 
     private final ArrayDeque<ByteBuf> chunks = new ArrayDeque<>();
+    private boolean waitsForRoom;
+    private boolean closed;
 
-    private ReadAheadBuffer(BufferBudget.Reservation reservation) {
-        this.reservation = reservation;
+    private ReadAheadBuffer(ReadAheadQueue.Ticket ticket) {
+        this.ticket = ticket;
     }
 
     /** Returns a buffer that takes what has been read already, and asks for no more. */
@@ -26,14 +28,38 @@
         return new ReadAheadBuffer(null);
     }
 
-    /** Returns a buffer that takes as much as can be reserved. */
-    static ReadAheadBuffer reserving(BufferBudget.Reservation reservation) {
-        return new ReadAheadBuffer(reservation);
+    /**
+     * Returns a buffer that takes a whole body once that is allowed and reserved.
+     *
+     * @param bodyBytes the length of the body
+     * @param onReserved called when it has been reserved later than it was asked for
+     * @param onGivenUp called when it will not be reserved, because others need the room
+     */
+    static ReadAheadBuffer reserving(
+            ReadAheadQueue queue, long bodyBytes, Runnable onReserved, Runnable onGivenUp) {
+        return new ReadAheadBuffer(
+                queue.newTicket(bodyBytes + 2 * CHUNK_BYTES, onReserved, onGivenUp));
+    }
+
+    /** From now on waits for its turn where there is not ample room. */
+    void waitForRoom() {
+        waitsForRoom = true;
     }
 
-    /** Whether reading may go on while the target cannot take more. */
+    /**
+     * Takes no more: the body has a target, so that nothing depends any more on whether its
+     * client's end is seen. What is not needed is left to the bodies that wait for a target.
+     */
+    void close() {
+        closed = true;
+        if (ticket != null) {
+            ticket.shrinkTo(heldBytes());
+        }
+    }
+
+    /** Whether a full target leaves parts here. */
     boolean isReserving() {
-        return reservation != null;
+        return ticket != null;
     }
 
     boolean isEmpty() {
@@ -56,8 +82,8 @@
     /** Takes the first chunk out; null if there is none. */
     ByteBuf poll() {
         ByteBuf first = chunks.poll();
-        if (reservation != null) {
-            reservation.resize(Math.min(reservation.bytes(), heldBytes()));
+        if (ticket != null && closed) {
+            ticket.shrinkTo(heldBytes());
         }
         return first;
     }
@@ -67,21 +93,21 @@
     }
 
     /**
-     * Reserves what has been appended. Returns false if that is not possible, so that reading must
-     * pause; what the last reads have brought is in the reservation of the stream itself.
+     * Whether more may be read ahead. If not, reading must pause; what the last reads have brought
+     * is in the reservation of the stream itself.
      */
     boolean reserve() {
-        return reservation != null
-                && (heldBytes() <= reservation.bytes()
-                        || reservation.resizeWithinSpare(heldBytes()));
+        if (ticket == null || closed) {
+            return false;
+        }
+        long reservedBytes = waitsForRoom ? ticket.request() : ticket.requestIfAmple();
+        return heldBytes() < reservedBytes;
     }
 
     /** Discards what is held. */
     void discard() {
         chunks.forEach(ByteBuf::release);
         chunks.clear();
-        if (reservation != null) {
-            reservation.release();
-        }
+        close();
     }
 }
--- a/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestBuffer.java
@@ -19,9 +19,6 @@
 
     private final BufferBudget.Account account;
 
-    /** An account of its own: what is read ahead must not use up what the next request needs. */
-    private final BufferBudget.Account readAheadAccount;
-
     /** Null if and only if the head is. */
     private BufferBudget.Reservation reservation;
 
@@ -45,7 +42,6 @@
      */
     RequestBuffer(BufferBudget budget) {
         this.account = budget.newAccount();
-        this.readAheadAccount = budget.newAccount();
     }
 
     /** Begins to receive the body of a request. */
@@ -126,9 +122,7 @@
 
     /** Takes out the request whose body is streamed from now on. */
     Streamed takeStreamed() {
-        ReadAheadBuffer readAhead =
-                ReadAheadBuffer.reserving(readAheadAccount.reserve(BufferKind.READ_AHEAD));
-        Streamed streamed = new Streamed(head, body, reservation, readAhead);
+        Streamed streamed = new Streamed(head, body, reservation);
         forget();
         return streamed;
     }
@@ -159,11 +153,6 @@
      *
      * @param receivedPart the part of the body received so far
      * @param reservation to be released once the request and all its attempts have ended
-     * @param readAhead holds further parts until an upstream takes them
      */
-    record Streamed(
-            HttpRequest head,
-            ByteBuf receivedPart,
-            BufferBudget.Reservation reservation,
-            ReadAheadBuffer readAhead) {}
+    record Streamed(HttpRequest head, ByteBuf receivedPart, BufferBudget.Reservation reservation) {}
 }
--- a/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestDispatcher.java
@@ -113,11 +113,10 @@
     }
 
     /**
-     * Reads the input up to its end before requests are accepted, and drops them if their client
-     * has disconnected. They may have waited in the backlog, or unread behind others, until their
-     * client gave up, and its disconnect is behind all that it has sent. How much that is at most
-     * is bounded by the number of requests that a client may pipeline, and by what may be read
-     * ahead of a streamed body.
+     * Reads the input up to its end before short requests are accepted, and drops them if their
+     * client has disconnected. They may have waited in the backlog, or unread behind others, until
+     * their client gave up, and its disconnect is behind all that it has sent. How much that is at
+     * most is bounded by the number of requests that a client may pipeline.
      */
     private void dispatchIfPresent() {
         if (readActivity.hasReachedReadLimit()) {
@@ -147,7 +146,7 @@
     }
 
     private void accept(ClientRequest request, ClientExchange exchange) {
-        exchange.onCancel(listener.coordinator().accept(request, exchange));
+        exchange.onAccepted(listener.coordinator().accept(request, exchange));
     }
 
     private void answerReadiness(HttpMethod method, ClientExchange exchange) {
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Assembles requests from the decoded messages of a client connection. A body of up to {@link
@@ -27,12 +28,19 @@
      */
     private static final int MAX_PIPELINED = 16;
 
+    /**
+     * How long a body waits for an upstream before it waits for room to be read ahead. Most get an
+     * upstream sooner.
+     */
+    private static final long READ_AHEAD_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final ClientConnection connection;
     private final Channel channel;
     private final ReadActivityHandler readActivity;
     private final StrictRequestDecoder decoder;
     private final ClientActivity activity;
     private final InputLagTracker inputLag;
+    private final ClientPresenceTracker presence;
     private final LingeringClose closing;
     private final ResponsePipeline responses;
     private final RequestDispatcher dispatcher;
@@ -48,6 +56,7 @@
             StrictRequestDecoder decoder,
             ClientActivity activity,
             InputLagTracker inputLag,
+            ClientPresenceTracker presence,
             LingeringClose closing,
             ResponsePipeline responses,
             RequestDispatcher dispatcher,
@@ -59,6 +68,7 @@
         this.decoder = decoder;
         this.activity = activity;
         this.inputLag = inputLag;
+        this.presence = presence;
         this.closing = closing;
         this.responses = responses;
         this.dispatcher = dispatcher;
@@ -195,7 +205,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large without a length");
             return;
         }
-        if (!buffer.reserveStream()) {
+        if (!reserveStream()) {
             rejectForBufferLimit(false);
             return;
         }
@@ -220,10 +230,39 @@
         UploadTracker tracker =
                 new UploadTracker(
                         connection.loop(), channel, inputLag, length - uploadedBytes, arrivedNanos);
-        StreamedBody body = new StreamedBody(head.headers(), length, this, request.readAhead());
+        ReadAheadBuffer readAhead =
+                ReadAheadBuffer.reserving(
+                        connection.buffers().readAhead(),
+                        length,
+                        this::retryReadAhead,
+                        exchange::giveUp);
+        StreamedBody body = new StreamedBody(head.headers(), length, this, readAhead);
         exchange.setUpload(body, tracker);
         uploading = exchange;
         dispatcher.dispatchUpload(request, exchange, arrivedNanos);
+        connection.loop().schedule(READ_AHEAD_DELAY_NANOS, () -> waitForReadAhead(exchange));
+    }
+
+    /** A body that waits for room is given up for one that may be sent at once. */
+    private boolean reserveStream() {
+        boolean reserved = buffer.reserveStream();
+        while (!reserved && connection.buffers().readAhead().giveUpFirst()) {
+            reserved = buffer.reserveStream();
+        }
+        return reserved;
+    }
+
+    /**
+     * Waits for room to read a body ahead. One behind another that waits for an upstream does not
+     * wait: each of them would hold room while none of their ends is seen.
+     */
+    private void waitForReadAhead(ClientExchange exchange) {
+        exchange.upload().waitForReadAhead();
+        if (exchange.isUploadWaiting()
+                && exchange.upload().isPaused()
+                && responses.hasOtherWaitingUpload(exchange)) {
+            exchange.giveUp();
+        }
     }
 
     private void upload(HttpContent content) {
@@ -291,6 +330,7 @@
     public void pause() {
         activity.onReadPaused();
         inputLag.onPaused();
+        presence.onPaused();
         if (uploading != null) {
             uploading.uploadTracker().onPaused();
         }
@@ -312,10 +352,9 @@
         long now = connection.loop().nanoTime();
         activity.onReadComplete(now);
         // Before the flush, which may resume reading although the read ended at a pause.
-        inputLag.onReadComplete(
-                now,
-                readActivity.bytesRead(),
-                channel.config().isAutoRead() && !readActivity.hasReachedReadLimit());
+        boolean nothingLeft = channel.config().isAutoRead() && !readActivity.hasReachedReadLimit();
+        inputLag.onReadComplete(now, readActivity.bytesRead(), nothingLeft);
+        presence.onReadComplete(now, readActivity.bytesRead(), nothingLeft);
         if (uploading != null) {
             uploading.uploadTracker().onReadComplete();
             uploading.upload().flush();
--- a/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
@@ -62,6 +62,11 @@
         return exchanges.size();
     }
 
+    /** Whether a streamed request other than this one waits for an upstream. */
+    boolean hasOtherWaitingUpload(ClientExchange exchange) {
+        return exchanges.stream().anyMatch(each -> each != exchange && each.isUploadWaiting());
+    }
+
     /** The responses that are written but not yet accepted by the kernel. */
     WriteBacklog backlog() {
         return backlog;
--- a/sidecar/src/main/java/appleridge/http1/StreamedBody.java
+++ b/sidecar/src/main/java/appleridge/http1/StreamedBody.java
@@ -11,8 +11,8 @@
 
 /**
  * A long request or response body that is passed from one connection to another with backpressure:
- * while the target cannot take more, the source is read ahead as far as {@link ReadAheadBuffer}
- * allows, and then not read. Event loop only.
+ * while the target cannot take more, the source is not read; while there is no target, it is read
+ * ahead as far as {@link ReadAheadBuffer} allows. Event loop only.
  */
 final class StreamedBody implements StreamedResponse {
     /** The connection that the body is read from. */
@@ -101,12 +101,16 @@
     }
 
     /**
-     * Writes a part. A write that fills the target calls {@link #updateBackpressure} before it has
-     * returned, when a chunk may have been written in part: nothing may be written from there.
+     * Writes a part, and flushes a target that it fills, which has often room then. A write that
+     * fills the target calls {@link #updateBackpressure} before it has returned, when a chunk may
+     * have been written in part: nothing may be written from there.
      */
     private void writeToTarget(ByteBuf part) {
         writing = true;
         target.write(new DefaultHttpContent(part));
+        if (!target.isWritable()) {
+            target.flush();
+        }
         writing = false;
     }
 
@@ -128,13 +132,32 @@
         attachTo(channel, () -> {});
     }
 
+    /** From now on waits for room to be read ahead, unless there is a target by now. */
+    void waitForReadAhead() {
+        if (target == null && !discarded) {
+            readAhead.waitForRoom();
+            updateBackpressure();
+        }
+    }
+
     /** Sets the target; runs {@code whenComplete} once the whole body has been written to it. */
     void attachTo(Channel channel, Runnable whenComplete) {
         target = channel;
+        readAhead.close();
         onComplete = whenComplete;
         flush();
     }
 
+    /** Whether a target has been set. */
+    boolean hasTarget() {
+        return target != null;
+    }
+
+    /** Whether its source is paused. */
+    boolean isPaused() {
+        return paused;
+    }
+
     /** Whether the whole body has arrived. */
     boolean isComplete() {
         return complete;
@@ -145,6 +168,9 @@
      * more can be taken or read ahead.
      */
     void updateBackpressure() {
+        if (writing) {
+            return;
+        }
         writeHeld();
         boolean full = !discarded && !complete && !isTargetReady() && !readAhead.reserve();
         if (full != paused) {
@@ -162,7 +188,7 @@
     }
 
     private void writeHeld() {
-        if (target == null || discarded || writing) {
+        if (target == null || discarded) {
             return;
         }
         boolean anyWritten = false;
--- a/sidecar/src/main/java/appleridge/request/AttemptTracker.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptTracker.java
@@ -36,7 +36,7 @@
     private final EndpointDirectory endpoints;
     private final RequestAccounting accounting;
     private final StallReconciler reconciler;
-    private final RequestLog log;
+    private final ClientPresenceGate presenceGate;
     private final Listener listener;
 
     AttemptTracker(
@@ -47,7 +47,7 @@
             EndpointDirectory endpoints,
             RequestAccounting accounting,
             StallReconciler reconciler,
-            RequestLog log,
+            ClientPresenceGate presenceGate,
             Listener listener) {
         this.clock = clock;
         this.scheduler = scheduler;
@@ -56,7 +56,7 @@
         this.endpoints = endpoints;
         this.accounting = accounting;
         this.reconciler = reconciler;
-        this.log = log;
+        this.presenceGate = presenceGate;
         this.listener = listener;
     }
 
@@ -219,8 +219,11 @@
 
         @Override
         public boolean mayBegin(Runnable resume) {
-            log.begun(attempt);
-            return true;
+            boolean begins = presenceGate.mayBegin(attempt, resume);
+            if (!begins && !attempt.request().isAwaitingClient()) {
+                endLater(attempt, Outcome.NEVER_SENT);
+            }
+            return begins;
         }
 
         @Override
--- a/sidecar/src/main/java/appleridge/request/BufferBudget.java
+++ b/sidecar/src/main/java/appleridge/request/BufferBudget.java
@@ -90,13 +90,23 @@
                                 + usedByKindFields());
     }
 
+    /** The number of bytes that nobody has to hold, at most. */
+    long maxSpareBytes() {
+        return (long) (limitBytes * MAX_SPARE_FRACTION);
+    }
+
     /** How many bytes of a kind may be added that nobody has to hold; negative if too many are. */
     private long spareBytes(BufferKind kind) {
-        long spareOfKind = (long) (limitBytes * MAX_SPARE_FRACTION) - usedBytes(kind);
+        long spareOfKind = maxSpareBytes() - usedBytes(kind);
         long spareOfAll = (long) (limitBytes * MAX_USED_FRACTION_FOR_SPARE) - usedBytes;
         return Math.min(spareOfKind, spareOfAll);
     }
 
+    /** Whether half of what can be spared is left after so many bytes more. */
+    boolean leavesHalfSpare(long bytes) {
+        return spareBytes(BufferKind.READ_AHEAD) - bytes >= maxSpareBytes() / 2;
+    }
+
     private String usedByKindFields() {
         StringJoiner fields = new StringJoiner(" ", " ", "");
         Arrays.stream(BufferKind.values())
@@ -167,14 +177,12 @@
         }
 
         /**
-         * Raises the number of reserved bytes within what the others leave to spare. To be used for
-         * bytes that nobody has to hold: an account gets at most as many as are left, so that
-         * others still get some. Returns false, and changes nothing, if there is not that much;
-         * this is no refusal.
+         * Raises the number of reserved bytes within what can be spared; to be used for bytes that
+         * nobody has to hold. Returns false, and changes nothing, if there is not that much; this
+         * is no refusal.
          */
-        public boolean resizeWithinSpare(long newBytes) {
-            long added = newBytes - bytes;
-            if (account.accountBytes + added > spareBytes(kind)) {
+        boolean resizeWithinSpare(long newBytes) {
+            if (newBytes - bytes > spareBytes(kind)) {
                 return false;
             }
             set(kind, newBytes);
--- a/sidecar/src/main/java/appleridge/request/DecisionLog.java
+++ b/sidecar/src/main/java/appleridge/request/DecisionLog.java
@@ -38,7 +38,7 @@
     private static final int MAX_DECISIONS_PER_PERIOD = 5000;
     private static final int MAX_LINE_CHARS = 8000;
     private static final String LEGEND =
-            "format=decision:id:attempt:after_start_ms:client_seen_ago_ms";
+            "format=decision/reason:id:attempt:after_start_ms:client_seen_ago_ms";
 
     private final MonotonicClock clock;
     private final EventLog log;
@@ -65,6 +65,16 @@
      *     #NEVER_SEEN} if it never was
      */
     void record(Decision decision, String id, int attempt, long clientSeenAgoNanos, long now) {
+        record(decision.label, id, attempt, clientSeenAgoNanos, now);
+    }
+
+    /** Records that a request was answered as not executed, or ended by its client. */
+    void recordEnd(
+            Decision decision, EndReason reason, String id, long clientSeenAgoNanos, long now) {
+        record(decision.label + "/" + reason.label(), id, -1, clientSeenAgoNanos, now);
+    }
+
+    private void record(String label, String id, int attempt, long clientSeenAgoNanos, long now) {
         if (now - periodStartNanos >= BOUND_PERIOD_NANOS) {
             periodStartNanos = now;
             decisionsInPeriod = 0;
@@ -77,15 +87,14 @@
         if (line.isEmpty()) {
             lineStartNanos = now;
         }
-        append(decision, id, attempt, clientSeenAgoNanos, now);
+        append(label, id, attempt, clientSeenAgoNanos, now);
         if (line.length() >= MAX_LINE_CHARS) {
             flush();
         }
     }
 
-    private void append(
-            Decision decision, String id, int attempt, long clientSeenAgoNanos, long now) {
-        line.append(' ').append(decision.label).append(':').append(LogText.id(id)).append(':');
+    private void append(String label, String id, int attempt, long clientSeenAgoNanos, long now) {
+        line.append(' ').append(label).append(':').append(LogText.id(id)).append(':');
         if (attempt >= 0) {
             line.append(attempt);
         }
--- a/sidecar/src/main/java/appleridge/request/EndReason.java
+++ b/sidecar/src/main/java/appleridge/request/EndReason.java
@@ -16,6 +16,8 @@
      * rule=} names the rule.
      */
     POLICY_REJECTED("policy_rejected", RequestEnd.REJECTED),
+    /** Nobody knew that the client was still there, so that no attempt began. */
+    CLIENT_PRESENCE_UNKNOWN("client_presence_unknown", RequestEnd.REJECTED),
     /** A streamed request, which can't be sent again, failed and was provably not executed. */
     STREAMED_REQUEST_NOT_EXECUTED("streamed_request_not_executed", RequestEnd.REJECTED),
     /** Another open request has the same id. */
--- a/sidecar/src/main/java/appleridge/request/PendingRequest.java
+++ b/sidecar/src/main/java/appleridge/request/PendingRequest.java
@@ -32,6 +32,7 @@
     private Attempt streamingAttempt;
 
     private boolean requestStreaming;
+    private boolean awaitingClient;
     private int outstandingAttempts;
     private boolean ended;
 
@@ -101,6 +102,16 @@
         return requestStreaming;
     }
 
+    /** Sets whether nothing is sent because nobody knows that the client is still there. */
+    void setAwaitingClient(boolean awaiting) {
+        awaitingClient = awaiting;
+    }
+
+    /** Whether nothing is sent because nobody knows that the client is still there. */
+    boolean isAwaitingClient() {
+        return awaitingClient;
+    }
+
     /** Whether the request and all its attempts have ended. */
     boolean isDone() {
         return ended && outstandingAttempts == 0;
--- a/sidecar/src/main/java/appleridge/request/RequestCompletion.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCompletion.java
@@ -48,6 +48,9 @@
                         && request.attempts().stream().noneMatch(Attempt::mayHaveExecuted);
         if (unfinished) {
             reject(request, EndReason.STREAMED_REQUEST_NOT_EXECUTED, 0);
+        } else if (request.isAwaitingClient()
+                && request.attempts().stream().noneMatch(Attempt::mayHaveExecuted)) {
+            reject(request, EndReason.CLIENT_PRESENCE_UNKNOWN, 0);
         } else {
             fail(request, EndReason.DEADLINE_EXCEEDED);
         }
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -21,6 +21,7 @@
  *   <li>{@link StallReconciler}: reads pending discovery updates and client input before each event
  *   <li>{@link DeferredRequests}: holds requests back until discovery has caught up
  *   <li>{@link EndpointDirectory}: knows the upstream hosts
+ *   <li>{@link ClientPresenceGate}: holds back what is sent until its client is known to be there
  *   <li>{@link AttemptTracker}: sends, times out and cancels attempts
  *   <li>{@link RequestDeadlines}: expires requests
  *   <li>{@link RequestAccounting}: tracks open requests and counts how requests end
@@ -42,6 +43,7 @@
     private final RequestCompletion completion;
     private final RequestDeadlines deadlines;
     private final AttemptTracker attempts;
+    private final ClientPresenceGate presenceGate;
     private final PolicyInvoker policyInvoker;
     private final PolicyActionExecutor actions;
 
@@ -83,6 +85,8 @@
                         completion,
                         deadlines,
                         policyInvoker);
+        this.presenceGate =
+                new ClientPresenceGate(scheduler, settings, requestLog, this::rejectUnknownClient);
         this.attempts =
                 new AttemptTracker(
                         clock,
@@ -92,7 +96,7 @@
                         endpoints,
                         accounting,
                         reconciler,
-                        requestLog,
+                        presenceGate,
                         attemptEvents);
         attemptEvents.attach(attempts);
         this.actions = newActions(scheduler, log);
@@ -251,9 +255,9 @@
     /**
      * Accepts a request, or ends it at once if too many requests are open or its id is in use.
      *
-     * @return the callback to run when the client disconnects
+     * @return the request, for its client's connection
      */
-    public Runnable accept(ClientRequest request, ResponseSink client) {
+    public AcceptedRequest accept(ClientRequest request, ResponseSink client) {
         reconciler.reconcile();
         accounting.metrics().onRequestAccepted(request.requestClass());
         if (accounting.isFull()) {
@@ -261,13 +265,13 @@
             accounting.requestEndedOnArrival(
                     request, EndReason.OPEN_REQUEST_LIMIT, reconciler.lastEventNanos());
             client.onRejected(0);
-            return () -> {};
+            return AcceptedRequest.ENDED;
         }
         if (accounting.mayHaveExecuted(request.id())) {
             accounting.requestEndedOnArrival(
                     request, EndReason.ID_MAY_HAVE_EXECUTED, reconciler.lastEventNanos());
             client.onFailed(ResponseSink.FailureCause.ID_IN_USE);
-            return () -> {};
+            return AcceptedRequest.ENDED;
         }
         // An upstream host takes two requests with one id for the same request, so that a response
         // could go to either client.
@@ -275,16 +279,31 @@
             accounting.requestEndedOnArrival(
                     request, EndReason.ID_IN_USE, reconciler.lastEventNanos());
             client.onFailed(ResponseSink.FailureCause.ID_IN_USE);
-            return () -> {};
+            return AcceptedRequest.ENDED;
         }
         PendingRequest pending = accounting.open(request, client, deadlines.deadlineNanos(request));
         deadlines.scheduleBackstop(pending);
+        Runnable submission = () -> submit(pending);
         if (deferred.isDeferring()) {
-            deferred.add(() -> submit(pending));
+            deferred.add(() -> presenceGate.submitWhenPresent(pending, submission));
         } else {
-            submit(pending);
+            presenceGate.submitWhenPresent(pending, submission);
         }
-        return () -> clientDisconnected(pending);
+        return handle(pending);
+    }
+
+    private AcceptedRequest handle(PendingRequest request) {
+        return new AcceptedRequest() {
+            @Override
+            public void onClientDisconnected() {
+                clientDisconnected(request);
+            }
+
+            @Override
+            public void giveUp() {
+                RequestCoordinator.this.giveUp(request);
+            }
+        };
     }
 
     /** Rejects a request that is not accepted, because too many bytes are buffered. */
@@ -332,29 +351,51 @@
         if (request.isOpen()) {
             completion.expire(request);
         }
-        releaseAttempts(request);
-        policyInvoker.notify(policy -> policy.onClientDisconnected(clock.nanoTime(), request.id()));
+        release(request);
+    }
+
+    /**
+     * Rejects a request whose time is up and of whose client nobody knows that it is still there.
+     */
+    private void rejectUnknownClient(PendingRequest request) {
+        reconciler.reconcile();
+        if (request.isUncommitted()) {
+            completion.expire(request);
+            release(request);
+        }
+    }
+
+    private void giveUp(PendingRequest request) {
+        reconciler.reconcile();
+        if (request.isUncommitted()
+                && request.attempts().stream().noneMatch(Attempt::hasStartedWriting)) {
+            EndReason reason =
+                    request.isAwaitingClient()
+                            ? EndReason.CLIENT_PRESENCE_UNKNOWN
+                            : EndReason.BUFFER_LIMIT;
+            completion.reject(request, reason, 0);
+            release(request);
+        }
     }
 
     private void clientDisconnected(PendingRequest request) {
         reconciler.reconcile();
         if (request.isOpen()) {
             completion.clientDisconnected(request);
-            releaseAttempts(request);
-            policyInvoker.notify(
-                    policy -> policy.onClientDisconnected(clock.nanoTime(), request.id()));
+            release(request);
         }
     }
 
     /**
      * Cancels the unwritten attempts of a request that has ended, and all attempts of a streamed
-     * one, which the policy does not cancel.
+     * one, which the policy does not cancel; notifies the policy.
      */
-    private void releaseAttempts(PendingRequest request) {
+    private void release(PendingRequest request) {
         attempts.cancelUnwritten(request);
         if (request.isStreaming()) {
             request.attempts().forEach(attempts::cancel);
         }
+        policyInvoker.notify(policy -> policy.onClientDisconnected(clock.nanoTime(), request.id()));
     }
 
     /** Stops the policy: its timers do nothing from now on. */
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -25,6 +25,21 @@
         record(Decision.BEGUN, attempt);
     }
 
+    /** Logs that an attempt waits, because nobody knows whether its client is there. */
+    void waiting(Attempt attempt) {
+        record(Decision.WAITING, attempt);
+    }
+
+    /** Logs that a request waits from now on for a sign of its client. */
+    void awaitingClient(PendingRequest request) {
+        decisions.record(
+                Decision.WAITING,
+                request.clientRequest().id(),
+                -1,
+                request.client().clientSeenAgoNanos(),
+                clock.nanoTime());
+    }
+
     /** Logs that a request is dropped before it is accepted. */
     void dropped(String requestId) {
         decisions.record(Decision.DROPPED, requestId, -1, DecisionLog.NEVER_SEEN, clock.nanoTime());
@@ -42,9 +57,9 @@
 
     private void recordEnd(ClientRequest request, EndReason reason, long seenAgo, long nowNanos) {
         if (reason.end() == RequestEnd.REJECTED) {
-            decisions.record(Decision.REJECTED, request.id(), -1, seenAgo, nowNanos);
+            decisions.recordEnd(Decision.REJECTED, reason, request.id(), seenAgo, nowNanos);
         } else if (reason.end() == RequestEnd.CLIENT_DISCONNECTED) {
-            decisions.record(Decision.DISCONNECTED, request.id(), -1, seenAgo, nowNanos);
+            decisions.recordEnd(Decision.DISCONNECTED, reason, request.id(), seenAgo, nowNanos);
         }
     }
 
--- a/sidecar/src/main/java/appleridge/request/ResponseSink.java
+++ b/sidecar/src/main/java/appleridge/request/ResponseSink.java
@@ -12,6 +12,18 @@
      */
     void readPendingInput();
 
+    /**
+     * What is known of the client now; reads its pending input if that is needed to know it. A
+     * disconnect that is found this way is handled before this returns.
+     */
+    ClientPresence clientPresence();
+
+    /**
+     * Runs a task later, once more may be known than {@link ClientPresence#UNKNOWN}. It may never
+     * run.
+     */
+    void whenMoreIsKnownOfClient(Runnable task);
+
     /**
      * For how long the client has not been known to be there, in nanoseconds; {@link
      * Long#MAX_VALUE} if it never was.
--- a/sidecar/src/main/java/appleridge/transport/NioIoHandlerFactory.java
+++ b/sidecar/src/main/java/appleridge/transport/NioIoHandlerFactory.java
@@ -7,30 +7,40 @@
 import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
-import java.util.function.LongSupplier;
+import io.netty.util.concurrent.Ticker;
 
-/** Creates the NIO handler of one event loop, which counts the turns of the loop. */
-public final class NioIoHandlerFactory implements IoHandlerFactory, LongSupplier {
+/** Creates the NIO handler of one event loop, which observes the turns of the loop. */
+public final class NioIoHandlerFactory implements IoHandlerFactory, LoopActivity {
     private final IoHandlerFactory nio = NioIoHandler.newFactory();
+    private final Ticker ticker = Ticker.systemTicker();
 
     /** Written only by the event loop's thread. */
     private volatile long turns;
 
+    private boolean polled;
+
+    /** A time before the last poll whose ready channels have all been handled. */
+    private long handledPollNanos;
+
     @Override
     public IoHandler newHandler(ThreadAwareExecutor executor) {
-        return new TurnCountingHandler(nio.newHandler(executor));
+        return new ObservedHandler(nio.newHandler(executor));
     }
 
-    /** Returns the number of turns of the loop since its start. */
     @Override
-    public long getAsLong() {
+    public long turnCount() {
         return turns;
     }
 
-    private final class TurnCountingHandler implements IoHandler {
+    @Override
+    public long maxUnreadInputNanos() {
+        return polled ? ticker.nanoTime() - handledPollNanos : UNKNOWN_NANOS;
+    }
+
+    private final class ObservedHandler implements IoHandler {
         private final IoHandler handler;
 
-        TurnCountingHandler(IoHandler handler) {
+        ObservedHandler(IoHandler handler) {
             this.handler = handler;
         }
 
@@ -39,10 +49,15 @@
             handler.initialize();
         }
 
+        /** A poll that finds nothing ready shows it for its end, any other for its start. */
         @Override
         public int run(IoHandlerContext context) {
             turns = turns + 1;
-            return handler.run(context);
+            long startNanos = ticker.nanoTime();
+            int handled = handler.run(context);
+            handledPollNanos = handled == 0 ? ticker.nanoTime() : startNanos;
+            polled = true;
+            return handled;
         }
 
         @Override
--- a/sidecar/src/main/java/appleridge/transport/SidecarEventLoop.java
+++ b/sidecar/src/main/java/appleridge/transport/SidecarEventLoop.java
@@ -20,26 +20,26 @@
     private final EventLoop executor;
     private final SidecarClock clock;
     private final EventLog log;
-    private final LongSupplier turnCount;
+    private final LoopActivity activity;
 
     /**
-     * Creates an instance that does not count the turns of the event loop.
+     * Creates an instance that does not observe the turns of the event loop.
      *
      * @param unixMillis the wall clock's Unix time in milliseconds
      */
     public SidecarEventLoop(EventLoop executor, LongSupplier unixMillis, EventLog log) {
-        this(executor, unixMillis, log, () -> 0);
+        this(executor, unixMillis, log, LoopActivity.UNKNOWN);
     }
 
     /**
      * Creates an instance on Netty's event loop.
      *
      * @param unixMillis the wall clock's Unix time in milliseconds
-     * @param turnCount returns the number of turns of the loop; each turn polls for events once
+     * @param activity observes the turns of the loop
      */
     public SidecarEventLoop(
-            EventLoop executor, LongSupplier unixMillis, EventLog log, LongSupplier turnCount) {
-        this.turnCount = turnCount;
+            EventLoop executor, LongSupplier unixMillis, EventLog log, LoopActivity activity) {
+        this.activity = activity;
         this.executor = executor;
         this.clock = new SidecarClock(executor.ticker(), unixMillis);
         this.log = log;
@@ -57,7 +57,12 @@
 
     /** The number of turns of the event loop since its start; 0 if they are not counted. */
     public long turnCount() {
-        return turnCount.getAsLong();
+        return activity.turnCount();
+    }
+
+    /** For how long unread input may have been there; {@link LoopActivity#maxUnreadInputNanos}. */
+    public long maxUnreadInputNanos() {
+        return activity.maxUnreadInputNanos();
     }
 
     @Override
--- a/sidecar/src/main/java/appleridge/transport/SocketFactory.java
+++ b/sidecar/src/main/java/appleridge/transport/SocketFactory.java
@@ -20,8 +20,9 @@
     ServerChannel newServerChannel();
 
     /**
-     * Reads the bytes that the system has buffered for a channel and passes them to its pipeline,
-     * before it returns. To be called on the event loop.
+     * Reads the bytes that the system has buffered for a channel, or accepts connections that wait
+     * for a listening one, and passes them to its pipeline before it returns. To be called on the
+     * event loop.
      */
     void readNow(Channel channel);
 }
--- a/testbed/src/main/java/appleridge/testbed/campaign/SimSidecar.java
+++ b/testbed/src/main/java/appleridge/testbed/campaign/SimSidecar.java
@@ -86,7 +86,8 @@
                             new SidecarEventLoop(
                                     own,
                                     () -> Site.EPOCH_MILLIS + (own.localNow() + wallOffset) / MILLI,
-                                    new SimLog(simulation, process.name(), escaped));
+                                    new SimLog(simulation, process.name(), escaped),
+                                    new SimLoopActivity(own));
                     RuntimeOptions limited = RuntimeOptions.DEFAULTS.withBufferLimits(bufferLimits);
                     RuntimeOptions tuning =
                             ensemble.get() == null
--- a/testbed/src/main/java/appleridge/testbed/campaign/SimSockets.java
+++ b/testbed/src/main/java/appleridge/testbed/campaign/SimSockets.java
@@ -2,6 +2,7 @@
 
 import appleridge.testbed.simnet.SimChannel;
 import appleridge.testbed.simnet.SimLoop;
+import appleridge.testbed.simnet.SimServerChannel;
 import appleridge.transport.SocketFactory;
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
@@ -20,6 +21,10 @@
 
     @Override
     public void readNow(Channel channel) {
-        ((SimChannel) channel).readNow();
+        if (channel instanceof SimServerChannel server) {
+            server.acceptNow();
+        } else {
+            ((SimChannel) channel).readNow();
+        }
     }
 }
--- a/testbed/src/main/java/appleridge/testbed/simnet/SimLoop.java
+++ b/testbed/src/main/java/appleridge/testbed/simnet/SimLoop.java
@@ -76,6 +76,10 @@
 
     private final List<BusyPeriod> busyPeriods = new ArrayList<>();
     private long spent;
+
+    /** When a turn last found no channel ready; negative before the first. */
+    private long nothingReadyAt = -1;
+
     private long serials;
     private long channelNumbers;
     private boolean running;
@@ -196,6 +200,13 @@
         return simulation.now() + spent;
     }
 
+    /**
+     * For how long a channel may have been ready without having been handled; negative: unknown.
+     */
+    public long readySince() {
+        return nothingReadyAt < 0 ? -1 : localNow() - nothingReadyAt;
+    }
+
     /** When the cost of the last task has elapsed and any pause is over. */
     public long freeAt() {
         return freeAt;
@@ -229,6 +240,9 @@
         }
         long now = simulation.now();
         SimIo io = drawReadyChannel();
+        if (io == null) {
+            nothingReadyAt = now;
+        }
         SimTimer.Entry timer = timers.first();
         boolean due = timer != null && timer.due() <= now;
         int choices = (io == null ? 0 : 1) + (due ? 1 : 0) + (tasks.isEmpty() ? 0 : 1);
--- a/testbed/src/main/java/appleridge/testbed/simnet/SimServerChannel.java
+++ b/testbed/src/main/java/appleridge/testbed/simnet/SimServerChannel.java
@@ -93,6 +93,13 @@
         }
     }
 
+    /** Accepts what waits immediately, without waiting for the loop's next turn. */
+    public void acceptNow() {
+        if (isReady()) {
+            handle();
+        }
+    }
+
     @Override
     public boolean isQueued() {
         return queued;
