An id is claimed for all processes of an upgrade before its request is sent

What callers saw: a non-idempotent request ran twice when its id came again at the process that takes over, while its attempt at the old one still ran.

Cause: an id was written to the shared table only when its request had ended.

Change: an id that must not run twice is claimed in the process's own table when its request is accepted; then the tables of the others are looked at, behind a full fence, so that of two that claim it at once none runs it. The claim is withdrawn if no attempt may have run.

--- a/sidecar/src/main/java/appleridge/request/ExecutedIds.java
+++ b/sidecar/src/main/java/appleridge/request/ExecutedIds.java
@@ -1,14 +1,15 @@
 package appleridge.request;
 
+import java.lang.invoke.VarHandle;
 import java.nio.LongBuffer;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Remembers for a while the ids of requests that may have been executed and must not be executed
- * again, after the requests themselves have ended. Bounded in number and bytes: an id is stored as
- * a hash in one of a few places, and takes the place of the one that was remembered first if all of
- * them are occupied. Event loop only.
+ * Remembers the ids of requests that may be executed, or may have been executed a while ago, and
+ * must not be executed again. Bounded in number and bytes: an id is stored as a hash in one of a
+ * few places, and takes the place of the one that was remembered first if all of them are occupied.
+ * Event loop only.
  */
 final class ExecutedIds {
     /** How long an id is remembered. */
@@ -57,6 +58,38 @@
         table.put(LONGS_PER_PLACE * place, hash);
     }
 
+    /**
+     * Remembers an id that is about to be executed, unless it is remembered. Two processes that
+     * claim an id at the same time both see the other's claim, so that neither executes it.
+     *
+     * @return whether the id may be executed
+     */
+    boolean claim(String id) {
+        if (contains(id)) {
+            return false;
+        }
+        remember(id);
+        // The claim must be visible to the others before theirs are looked at.
+        VarHandle.fullFence();
+        if (isKnownElsewhere(hash(id))) {
+            forget(id);
+            return false;
+        }
+        return true;
+    }
+
+    /** Forgets an id that was not executed. */
+    void forget(String id) {
+        int place = find(table, hash(id));
+        if (place >= 0) {
+            table.put(LONGS_PER_PLACE * place, 0);
+        }
+    }
+
+    private boolean isKnownElsewhere(long hash) {
+        return otherTables.stream().anyMatch(other -> find(other, hash) >= 0);
+    }
+
     /** Whether an id is remembered. */
     boolean contains(String id) {
         if (table == null && otherTables.isEmpty()) {
@@ -64,8 +97,7 @@
         }
         long hash = hash(id);
         int place = table == null ? -1 : find(table, hash);
-        return place >= 0 && !isExpired(place, clock.nanoTime())
-                || otherTables.stream().anyMatch(other -> find(other, hash) >= 0);
+        return place >= 0 && !isExpired(place, clock.nanoTime()) || isKnownElsewhere(hash);
     }
 
     /** The place of a hash in a table; -1 if it is not there. */
--- a/sidecar/src/main/java/appleridge/request/RequestAccounting.java
+++ b/sidecar/src/main/java/appleridge/request/RequestAccounting.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -52,19 +53,24 @@
     }
 
     /**
-     * Whether a request with the same id has been forwarded before and may have been executed,
-     * though its client has left or was answered.
-     */
-    boolean mayHaveExecuted(String clientId) {
-        return executedIds.contains(clientId);
-    }
-
-    /**
-     * Reserves a client's id for a request; returns false if an open request has it, or one that
-     * must not be executed twice and of which an attempt is outstanding.
+     * Reserves the id of a request. Fails if an open request has it, or one that must not be
+     * executed twice and of which an attempt is outstanding; or if a request with the same id has
+     * been forwarded before, here or by another process, and may have been executed.
+     *
+     * @return why the id is not reserved; empty if it is
      */
-    boolean reserveId(String clientId) {
-        return clientIds.add(clientId);
+    Optional<EndReason> reserveId(ClientRequest request) {
+        String id = request.id();
+        if (clientIds.contains(id)) {
+            return Optional.of(EndReason.ID_IN_USE);
+        }
+        boolean reserved =
+                isRepeatable(request) ? !executedIds.contains(id) : executedIds.claim(id);
+        if (!reserved) {
+            return Optional.of(EndReason.ID_MAY_HAVE_EXECUTED);
+        }
+        clientIds.add(id);
+        return Optional.empty();
     }
 
     /** Counts and logs a request that ends on its arrival, before it is tracked. */
@@ -91,7 +97,7 @@
         request.markEnded();
         log.ended(request, reason, nowNanos);
         metrics.onRequestEnded(request.clientRequest().requestClass(), reason.end());
-        if (isRepeatable(request)) {
+        if (isRepeatable(request.clientRequest())) {
             clientIds.remove(request.clientRequest().id());
         }
         request.cancelExpiry();
@@ -113,24 +119,26 @@
     private void forgetIfDone(PendingRequest request) {
         if (request.isDone()) {
             tracked.remove(request.id());
-            if (!isRepeatable(request)) {
+            if (!isRepeatable(request.clientRequest())) {
                 releaseId(request);
             }
             request.clientRequest().message().release();
         }
     }
 
-    private boolean isRepeatable(PendingRequest request) {
-        int requestClass = request.clientRequest().requestClass();
-        return settings.classes().get(requestClass).idempotency() == Idempotency.IDEMPOTENT;
+    private boolean isRepeatable(ClientRequest request) {
+        return settings.classes().get(request.requestClass()).idempotency()
+                == Idempotency.IDEMPOTENT;
     }
 
-    /** Lets the id go, but remembers it if the request may have been executed. */
+    /** Lets the id go, but remembers it for a while if the request may have been executed. */
     private void releaseId(PendingRequest request) {
         String id = request.clientRequest().id();
         clientIds.remove(id);
         if (request.attempts().stream().anyMatch(Attempt::mayHaveExecuted)) {
             executedIds.remember(id);
+        } else {
+            executedIds.forget(id);
         }
     }
 
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -10,6 +10,7 @@
 import java.nio.LongBuffer;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 
 /**
@@ -267,17 +268,11 @@
             client.onRejected(0);
             return AcceptedRequest.ENDED;
         }
-        if (accounting.mayHaveExecuted(request.id())) {
-            accounting.requestEndedOnArrival(
-                    request, EndReason.ID_MAY_HAVE_EXECUTED, reconciler.lastEventNanos());
-            client.onFailed(ResponseSink.FailureCause.ID_IN_USE);
-            return AcceptedRequest.ENDED;
-        }
         // An upstream host takes two requests with one id for the same request, so that a response
         // could go to either client.
-        if (!accounting.reserveId(request.id())) {
-            accounting.requestEndedOnArrival(
-                    request, EndReason.ID_IN_USE, reconciler.lastEventNanos());
+        Optional<EndReason> idRefused = accounting.reserveId(request);
+        if (idRefused.isPresent()) {
+            accounting.requestEndedOnArrival(request, idRefused.get(), reconciler.lastEventNanos());
             client.onFailed(ResponseSink.FailureCause.ID_IN_USE);
             return AcceptedRequest.ENDED;
         }
--- a/sidecar/src/test/java/appleridge/daemon/InheritedListenerIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/InheritedListenerIT.java
@@ -385,4 +385,48 @@
             assertEquals(0, next.awaitExit(), next.log());
         }
     }
+
+    /**
+     * Guards against a request that is executed twice, because its id comes again at the process
+     * that takes over, while its attempt at the old one still runs.
+     */
+    @Test
+    void idOfAnOpenRequestOfTheOldProcessIsNotExecutedAtTheNewOne() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        try (StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
+                StubUpstream upstream =
+                        new StubUpstream(
+                                (socket, request) -> {
+                                    release.await(
+                                            LoopbackSidecar.TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                                    StubUpstream.write(
+                                            socket, StubUpstream.response("200 OK", "fine"));
+                                    return true;
+                                });
+                SocketActivator platform = new SocketActivator(folder)) {
+            String config = config(discovery, upstream);
+            SocketActivator.Sidecar old = platform.start(config, "0");
+            old.awaitLog("serves at");
+            String request = TestClient.request("pay", "3.0");
+            try (TestClient first = new TestClient(platform.address())) {
+                first.send(request);
+                upstream.nextRequest();
+                SocketActivator.Sidecar next = platform.start(config, "0");
+                next.awaitLog("serves at");
+                old.signal("TERM");
+                old.awaitLog("draining");
+                try (TestClient again = new TestClient(platform.address())) {
+                    again.send(request);
+                    assertNull(
+                            upstream.requests.poll(500, TimeUnit.MILLISECONDS), "executed again");
+                    assertEquals(409, TestClient.status(again.read()), next.log());
+                }
+                release.countDown();
+                assertEquals(200, TestClient.status(first.read()), old.log());
+                next.signal("TERM");
+                assertEquals(0, next.awaitExit(), next.log());
+            }
+            assertEquals(0, old.awaitExit(), old.log());
+        }
+    }
 }
--- a/sidecar/src/test/java/appleridge/request/ExecutedIdsTest.java
+++ b/sidecar/src/test/java/appleridge/request/ExecutedIdsTest.java
@@ -75,4 +75,22 @@
         assertTrue(ids.contains("a"));
         assertFalse(ids.contains("b"));
     }
+
+    /**
+     * Guards against two processes that execute one id, because each began before the other ended.
+     */
+    @Test
+    void idThatAnotherProcessClaimsIsNotExecuted() {
+        LongBuffer ownTable = LongBuffer.allocate(ExecutedIds.TABLE_ENTRIES);
+        LongBuffer otherTable = LongBuffer.allocate(ExecutedIds.TABLE_ENTRIES);
+        ExecutedIds other = new ExecutedIds(() -> now);
+        ids.share(ownTable, List.of(otherTable));
+        other.share(otherTable, List.of(ownTable));
+        assertTrue(ids.claim("a"));
+        assertFalse(other.claim("a"), "claimed by the first");
+        assertFalse(ids.claim("a"), "claimed before");
+        ids.forget("a");
+        assertTrue(other.claim("a"), "it was not executed");
+        assertFalse(ids.claim("a"));
+    }
 }
