--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -175,7 +175,7 @@
 
     /** What is known of the client now; reads pending input if that is needed to know it. */
     ClientPresence clientPresence() {
-        if (channel.isActive() && !presence.isSeen(loop().nanoTime())) {
+        if (channel.isActive() && !presence.isFreshlySeen(loop().nanoTime())) {
             readPendingInput();
         }
         if (!channel.isActive()) {
--- a/sidecar/src/main/java/appleridge/http1/ClientPresenceTracker.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientPresenceTracker.java
@@ -33,6 +33,9 @@
      */
     private static final long WINDOW_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
+    /** After this time an observation still counts, but a newer one is looked for. */
+    private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     /** An age that stands for an unknown one. */
     private static final long UNSEEN_NANOS = TimeUnit.HOURS.toNanos(1);
 
@@ -131,6 +134,11 @@
         return everSeen && now - seenNanos <= MAX_AGE_NANOS;
     }
 
+    /** Whether the client was there so recently that no newer observation is needed. */
+    boolean isFreshlySeen(long now) {
+        return everSeen && now - seenNanos <= FRESH_NANOS;
+    }
+
     /** For how long the client has not been known to be there; {@link Long#MAX_VALUE} if never. */
     long seenAgoNanos(long now) {
         return everSeen ? now - seenNanos : Long.MAX_VALUE;
--- a/testbed/src/main/java/appleridge/testbed/invariants/BufferRule.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/BufferRule.java
@@ -10,6 +10,9 @@
  * what it has written and its peers have not read is within the limits, too.
  */
 final class BufferRule implements DayListener {
+    /** A longer body is passed on in parts, and never held whole. */
+    private static final int MAX_HELD_BODY_BYTES = 64 << 10;
+
     private static final long BACKLOG_CHECK_INTERVAL = 5 * TimeSpans.MS;
 
     private final RuleContext context;
@@ -50,7 +53,10 @@
 
     @Override
     public void requestMessage(String id, Message message) {
-        bodyBytesByKey.put(keysById.remove(id), message.length());
+        Long key = keysById.remove(id);
+        if (message.length() <= MAX_HELD_BODY_BYTES) {
+            bodyBytesByKey.put(key, message.length());
+        }
     }
 
     @Override
--- a/testbed/src/main/java/appleridge/testbed/simulation/PendingAttempt.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/PendingAttempt.java
@@ -76,9 +76,11 @@
         this.pauses = intent.slowWriter ? 1 + intent.chance.nextInt(MAX_PAUSES) : 0;
         this.pause = 1 + intent.chance.nextLong(MAX_PAUSE);
         this.patience =
-                intent.impatient
-                        ? (long) (deadline * intent.chance.nextDouble() * 0.5)
-                        : deadline + LATE_RESPONSE_MARGIN + pauses * pause;
+                intent.departing
+                        ? intent.departsAfter
+                        : intent.impatient
+                                ? (long) (deadline * intent.chance.nextDouble() * 0.5)
+                                : deadline + LATE_RESPONSE_MARGIN + pauses * pause;
     }
 
     /** Mixes the bits; a bijection, so distinct inputs stay distinct, and only 0 maps to 0. */
--- a/testbed/src/main/java/appleridge/testbed/simulation/PlanDraw.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/PlanDraw.java
@@ -66,6 +66,9 @@
     /** Fraction of the days on which clients use up a small budget of buffered bytes. */
     private static final double SMALL_BUFFER_DAYS = 0.1;
 
+    /** Fraction of the days with clients that send long requests and disconnect. */
+    private static final double DEPARTING_DAYS = 0.15;
+
     /** What the head of a request occupies in a sidecar beside its body, about. */
     private static final long HEAD_MEMORY_BYTES = 3000;
 
@@ -99,6 +102,7 @@
         faults.addAll(stage.faults(stageRandom, sizes));
         faults.addAll(drawMembership());
         faults.addAll(drawBuffers());
+        faults.addAll(drawDeparting());
         return new Plan(seed, sizes, faults);
     }
 
@@ -345,6 +349,30 @@
         return faults;
     }
 
+    /**
+     * Draws a day on which clients send long requests, some of them pipelined, and disconnect,
+     * before servers of which some hang or accept no connection. Uses an own stream so that all
+     * other draws stay the same.
+     */
+    private List<Fault> drawDeparting() {
+        SeededRandom own = new SeededRandom(seed).stream("plan.departing");
+        List<Fault> faults = new ArrayList<>();
+        if (!own.hits(DEPARTING_DAYS)) {
+            return faults;
+        }
+        sizes.put(
+                ScenarioParameter.DEPARTING,
+                own.between(ScenarioParameter.part(0.05), ScenarioParameter.part(0.4)));
+        sizes.put(
+                ScenarioParameter.PIPELINED,
+                own.between(ScenarioParameter.part(0.05), ScenarioParameter.part(0.5)));
+        sizes.put(ScenarioParameter.CONNECT_TIMEOUT, own.between(100 * MS, 600 * MS));
+        for (long i = own.between(1, 4); i > 0; i--) {
+            faults.add(bufferFault(own, own.pick(List.of(FaultKind.HANG, FaultKind.UP_STALL))));
+        }
+        return faults;
+    }
+
     private Fault bufferFault(SeededRandom own, FaultKind kind) {
         TreeMap<FaultParameter, Long> values = new TreeMap<>();
         for (FaultParameter each : kind.params()) {
--- a/testbed/src/main/java/appleridge/testbed/simulation/RequestIntent.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/RequestIntent.java
@@ -17,6 +17,11 @@
     /** The same after the faults, when every request should be served. */
     private static final int MAX_WORK_FACTOR_AFTER_FAULTS = 2;
 
+    /** Longer than what a sidecar holds whole. */
+    private static final int MIN_LONG_BODY_BYTES = 66_000;
+
+    private static final long MIN_STAY = 10 * Site.MS;
+    private static final long MAX_STAY = 100 * Site.MS;
     private static final List<String> QUERIES =
             List.of(
                     "item=",
@@ -42,6 +47,13 @@
     final boolean slowWriter;
     final boolean asksOnce;
     final boolean impatient;
+
+    /** Whether the client sends a long request and disconnects soon. */
+    final boolean departing;
+
+    /** When a departing client disconnects, from the start of its request. */
+    final long departsAfter;
+
     final double share;
 
     /** Number of attempts so far. */
@@ -70,10 +82,19 @@
                         ? Long.toHexString(chance.nextLong()) + Long.toHexString(chance.nextLong())
                         : null;
         boolean large = chance.hits(plan.part(ScenarioParameter.LARGE_BODIES));
-        int length =
+        SeededRandom departure = chance.stream("departure");
+        this.departing =
+                kind.semantics() != Idempotency.IDEMPOTENT
+                        && departure.hits(plan.part(ScenarioParameter.DEPARTING));
+        int usualLength =
                 kind.semantics() == Idempotency.IDEMPOTENT
                         ? 0
                         : 1 + chance.nextInt(large ? plan.maxBodyBytes() : SMALL_BODY_BYTES);
+        int length =
+                departing
+                        ? MIN_LONG_BODY_BYTES + departure.nextInt(MIN_LONG_BODY_BYTES)
+                        : usualLength;
+        this.departsAfter = departure.between(MIN_STAY, MAX_STAY);
         SeededRandom form = chance.stream("form");
         this.uri = "/api/" + kind.name() + query(form);
         this.body = body(form.nextLong(), length);
--- a/testbed/src/main/java/appleridge/testbed/simulation/ScenarioParameter.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/ScenarioParameter.java
@@ -37,6 +37,8 @@
     HONOUR(Unit.PART, part(0.9), 0, part(1)),
     /** Fraction of the clients that disconnect before their deadline. */
     IMPATIENT(Unit.PART, part(0.01), 0, part(1)),
+    /** Fraction of the clients that send a long request and disconnect within 0.1 s. */
+    DEPARTING(Unit.PART, 0, 0, part(1)),
     /** Fraction of the responses that clients read slowly. */
     SLOW_READERS(Unit.PART, part(0.02), 0, part(1)),
     /** Fraction of the requests that are written in pieces with pauses between them. */
