--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -25,21 +25,18 @@
     /** How long a client rejected at the connection limit has at least to read the response. */
     private static final long MIN_REJECTION_LINGER_MILLIS = 20;
 
-    /** How long input is read at a time to find the end of a connection. */
-    private static final long MAX_READ_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-
     private final ClientListener listener;
     private final Channel channel;
     private final ReadActivityHandler readActivity;
     private final ClientActivity activity;
     private final InputLagTracker inputLag;
     private final ClientPresenceTracker presence;
+    private final PendingInputReader input;
     private final LingeringClose closing;
     private final ResponsePipeline responses;
     private final RequestIntake intake;
     private final BufferBudget.Account responseBuffers;
     private boolean rejected;
-    private boolean inputDrained = true;
 
     private ClientConnection(
             ClientListener listener,
@@ -62,6 +59,7 @@
         this.presence =
                 new ClientPresenceTracker(
                         loop(), channel, listener.openedWithinNanos(), this::readPendingInput);
+        this.input = new PendingInputReader(listener, channel, readActivity, presence);
         this.closing = new LingeringClose(channel, readActivity, loop());
         this.responses =
                 new ResponsePipeline(this, listener, channel, readActivity, activity, closing);
@@ -73,7 +71,6 @@
                         decoder,
                         activity,
                         inputLag,
-                        presence,
                         closing,
                         responses,
                         new RequestDispatcher(listener, this, readActivity),
@@ -96,14 +93,7 @@
     public void channelActive(ChannelHandlerContext ctx) {
         listener.onConnectionOpened(this);
         ctx.fireChannelActive();
-        loop().execute(this::readFirstInput);
-    }
-
-    /** What the client has sent with the connection is read in the turn that accepts it. */
-    private void readFirstInput() {
-        if (isReadable() && readActivity.readCount() == 0) {
-            listener.readNow(channel);
-        }
+        loop().execute(input::readFirstInput);
     }
 
     @Override
@@ -184,9 +174,9 @@
         return presence.isSeen(loop().nanoTime()) ? ClientPresence.PRESENT : ClientPresence.UNKNOWN;
     }
 
-    /** Runs a task once more may be known of the client; it may never run. */
-    void whenMoreIsKnownOfClient(Runnable task) {
-        presence.whenMoreIsKnown(task);
+    /** When the client was last known to be connected. */
+    ClientPresenceTracker presence() {
+        return presence;
     }
 
     /** For how long the client has not been known to be there; {@link Long#MAX_VALUE} if never. */
@@ -212,45 +202,14 @@
         intake.onUploadAbandoned();
     }
 
-    /**
-     * Reads pending input from the socket until none is left, or for some time: the end of the
-     * connection is behind all that the client has sent. Returns whether the connection is still
-     * active.
-     */
+    /** Reads pending input; see {@link PendingInputReader#readPendingInput}. */
     boolean readPendingInput() {
-        long startNanos = loop().nanoTime();
-        long beforeReadNanos = startNanos;
-        inputDrained = !readMoreInput();
-        while (!inputDrained) {
-            beforeReadNanos = loop().nanoTime();
-            if (beforeReadNanos - startNanos >= MAX_READ_NANOS) {
-                break;
-            }
-            inputDrained = !readMoreInput();
-        }
-        if (inputDrained && isReadable()) {
-            presence.onNothingToRead(beforeReadNanos);
-        }
-        return channel.isActive();
-    }
-
-    private boolean isReadable() {
-        return channel.isActive() && channel.config().isAutoRead() && !readActivity.isDelivering();
+        return input.readPendingInput();
     }
 
     /** Whether {@link #readPendingInput} left nothing unread. */
     boolean isInputDrained() {
-        return inputDrained;
-    }
-
-    /** Reads once from the socket; returns whether there was any input and there may be more. */
-    private boolean readMoreInput() {
-        if (!isReadable()) {
-            return false;
-        }
-        long readsBefore = readActivity.readCount();
-        listener.readNow(channel);
-        return channel.isActive() && readActivity.readCount() != readsBefore;
+        return input.isInputDrained();
     }
 
     void logClosed(HttpResponseStatus status) {
--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -199,7 +199,7 @@
 
     @Override
     public void whenMoreIsKnownOfClient(Runnable task) {
-        connection.whenMoreIsKnownOfClient(task);
+        connection.presence().whenMoreIsKnown(task);
     }
 
     @Override
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -56,7 +56,6 @@
             StrictRequestDecoder decoder,
             ClientActivity activity,
             InputLagTracker inputLag,
-            ClientPresenceTracker presence,
             LingeringClose closing,
             ResponsePipeline responses,
             RequestDispatcher dispatcher,
@@ -68,7 +67,7 @@
         this.decoder = decoder;
         this.activity = activity;
         this.inputLag = inputLag;
-        this.presence = presence;
+        this.presence = connection.presence();
         this.closing = closing;
         this.responses = responses;
         this.dispatcher = dispatcher;
--- a/sidecar/src/main/java/appleridge/request/ClientPresenceGate.java
+++ b/sidecar/src/main/java/appleridge/request/ClientPresenceGate.java
@@ -46,7 +46,9 @@
                 submission.run();
             }
             case UNKNOWN -> await(request, () -> submitWhenPresent(request, submission));
-            case DISCONNECTED -> {}
+            default -> {
+                // The disconnect has ended the request.
+            }
         }
     }
 
