A request behind a rejected upload gets a response; uploads are received in a class of their own

Cause: a long request for which no memory was left closed the connection's input at once, while its rejection waited for the responses before it; what the client sent until it read "Connection: close" was read and discarded. A rejection ahead of its body's end closed the connection in the same way, even if the rest of the body was in the socket already.

--- a/sidecar/src/main/java/appleridge/http1/ClientConnection.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientConnection.java
@@ -199,7 +199,7 @@
     }
 
     void onUploadAbandoned() {
-        intake.onUploadAbandoned();
+        intake.upload().abandon();
     }
 
     /** Reads pending input; see {@link PendingInputReader#readPendingInput}. */
@@ -323,7 +323,7 @@
      */
     void expire(long now, ClientTimeouts timeouts) {
         long stateMillis = activity.stateMillis(now);
-        intake.retryReadAhead();
+        intake.upload().retryReadAhead();
         if (responses.backlog().isPending(now, WriteBacklog.MAX_PENDING_NANOS)
                 || responses.isStreamStalled(now)) {
             resetUnread();
--- a/sidecar/src/main/java/appleridge/http1/ClientExchange.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientExchange.java
@@ -29,6 +29,13 @@
 final class ClientExchange implements ResponseSink {
     private static final byte[] NO_BODY = {};
 
+    /** Whether the response waits for the end of the request's body. */
+    private enum UploadEndWait {
+        NOT_STARTED,
+        STARTED,
+        OVER
+    }
+
     private final ClientConnection connection;
     private final boolean keepAlive;
     private final boolean chunkedAllowed;
@@ -39,6 +46,7 @@
     /** Null if and only if the upload is. */
     private UploadTracker uploadTracker;
 
+    private UploadEndWait uploadEndWait = UploadEndWait.NOT_STARTED;
     private boolean streamStarted;
     private boolean streamComplete;
     private boolean closeAfterStream;
@@ -110,6 +118,24 @@
         return upload != null && !upload.isComplete();
     }
 
+    /** From now on the response waits for the end of the body. Returns false if it has before. */
+    boolean startAwaitingUploadEnd() {
+        if (uploadEndWait != UploadEndWait.NOT_STARTED) {
+            return false;
+        }
+        uploadEndWait = UploadEndWait.STARTED;
+        return true;
+    }
+
+    boolean isUploadEndAwaited() {
+        return uploadEndWait == UploadEndWait.STARTED;
+    }
+
+    /** The response no longer waits for the end of the body. */
+    void stopAwaitingUploadEnd() {
+        uploadEndWait = UploadEndWait.OVER;
+    }
+
     boolean isKeepAlive() {
         return keepAlive;
     }
--- a/sidecar/src/main/java/appleridge/http1/LingeringClose.java
+++ b/sidecar/src/main/java/appleridge/http1/LingeringClose.java
@@ -43,6 +43,13 @@
         readActivity.discardUpload();
     }
 
+    /** Discards input after the last request: it gets no response, so it must have no effect. */
+    void closeInputAfterLast(ClientExchange exchange) {
+        if (!exchange.isKeepAlive()) {
+            closeInput();
+        }
+    }
+
     /** Records that the connection has closed. */
     void onChannelInactive() {
         inputClosed = true;
--- a/sidecar/src/main/java/appleridge/http1/RequestIntake.java
+++ b/sidecar/src/main/java/appleridge/http1/RequestIntake.java
@@ -10,14 +10,13 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Assembles requests from the decoded messages of a client connection. A body of up to {@link
  * MessageFraming#MAX_BUFFERED_BODY_BYTES} is buffered whole; a longer one with a known length is
  * streamed. Event loop only.
  */
-final class RequestIntake implements StreamedBody.Source {
+final class RequestIntake {
     /**
      * The maximum number of requests that await responses on one connection, and that begin in one
      * read.
@@ -28,12 +27,6 @@
      */
     private static final int MAX_PIPELINED = 16;
 
-    /**
-     * How long a body waits for an upstream before it waits for room to be read ahead. Most get an
-     * upstream sooner.
-     */
-    private static final long READ_AHEAD_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-
     private final ClientConnection connection;
     private final Channel channel;
     private final ReadActivityHandler readActivity;
@@ -45,8 +38,7 @@
     private final ResponsePipeline responses;
     private final RequestDispatcher dispatcher;
     private final RequestBuffer buffer;
-    private ClientExchange uploading;
-    private long uploadedBytes;
+    private final UploadIntake upload;
     private int requestsInRead;
 
     RequestIntake(
@@ -71,6 +63,22 @@
         this.closing = closing;
         this.responses = responses;
         this.dispatcher = dispatcher;
+        this.upload =
+                new UploadIntake(
+                        connection,
+                        channel,
+                        readActivity,
+                        decoder,
+                        activity,
+                        inputLag,
+                        closing,
+                        responses,
+                        dispatcher);
+    }
+
+    /** The body that is being streamed, if there is one. */
+    UploadIntake upload() {
+        return upload;
     }
 
     /** Processes the next decoded part of the input. */
@@ -83,8 +91,8 @@
             return;
         }
         if (message instanceof HttpContent content) {
-            if (uploading != null) {
-                upload(content);
+            if (upload.isReceiving()) {
+                upload.receive(content);
             } else if (buffer.isReceivingBody()) {
                 receive(content);
             }
@@ -92,8 +100,8 @@
     }
 
     private void onMalformed() {
-        if (uploading != null) {
-            abortUpload(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+        if (upload.isReceiving()) {
+            upload.abort(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
         } else {
             reject(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
         }
@@ -116,10 +124,14 @@
             return false;
         }
         buffer.begin(request);
-        if (buffer.isOverLimit() && !isBodyDiscardable(request)) {
+        if (buffer.isOverLimit() && HttpUtil.is100ContinueExpected(request)) {
             rejectForBufferLimit(false);
             return false;
         }
+        if (buffer.isOverLimit() && isLong(request)) {
+            rejectUpload();
+            return false;
+        }
         if (HttpUtil.is100ContinueExpected(request) && responses.isEmpty()) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(
@@ -148,7 +160,7 @@
         activity.onRequestReceived();
         readActivity.onMessageComplete(decoder.hasBufferedBytes());
         ClientExchange exchange = newExchange(request.head());
-        closeInputAfterLast(exchange);
+        closing.closeInputAfterLast(exchange);
         dispatcher.dispatch(request, exchange);
     }
 
@@ -164,13 +176,12 @@
         activity.onRequestReceived();
         readActivity.onMessageComplete(decoder.hasBufferedBytes());
         ClientExchange exchange = newExchange(request, keepAlive);
-        closeInputAfterLast(exchange);
+        closing.closeInputAfterLast(exchange);
         dispatcher.rejectForBufferLimit(request, exchange);
     }
 
-    private static boolean isBodyDiscardable(HttpRequest request) {
-        return !HttpUtil.is100ContinueExpected(request)
-                && HttpUtil.getContentLength(request, 0L) <= MessageFraming.MAX_BUFFERED_BODY_BYTES;
+    private static boolean isLong(HttpRequest request) {
+        return HttpUtil.getContentLength(request, 0L) > MessageFraming.MAX_BUFFERED_BODY_BYTES;
     }
 
     private ClientExchange newExchange(HttpRequest request) {
@@ -187,13 +198,6 @@
         return exchange;
     }
 
-    /** Discards input after the last request: it gets no response, so it must have no effect. */
-    private void closeInputAfterLast(ClientExchange exchange) {
-        if (!exchange.isKeepAlive()) {
-            closing.closeInput();
-        }
-    }
-
     /**
      * Streams a body that is too long to be buffered. Rejects one without a known length: its size
      * cannot be checked in advance, and an upstream would read up to the limit of a request that is
@@ -204,42 +208,24 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large without a length");
             return;
         }
-        if (!reserveStream()) {
-            rejectForBufferLimit(false);
-            return;
+        if (reserveStream()) {
+            RequestBuffer.Streamed request = buffer.takeStreamed();
+            activity.onRequestReceived();
+            upload.begin(request, newExchange(request.head()));
+        } else {
+            rejectUpload();
         }
-        beginUpload();
-        if (uploading != null) {
-            upload(content);
+        if (upload.isReceiving()) {
+            upload.receive(content);
         }
     }
 
-    /**
-     * Dispatches a request with the part of its body received so far. Up to this point a slow
-     * sender has not occupied a slot of an upstream.
-     */
-    private void beginUpload() {
-        RequestBuffer.Streamed request = buffer.takeStreamed();
-        HttpRequest head = request.head();
+    private void rejectUpload() {
+        HttpRequest request = buffer.head();
+        int receivedBytes = buffer.bodyBytes();
+        buffer.discard();
         activity.onRequestReceived();
-        ClientExchange exchange = newExchange(head);
-        long length = HttpUtil.getContentLength(head, -1L);
-        uploadedBytes = request.receivedPart().readableBytes();
-        long arrivedNanos = connection.earliestArrivalNanos();
-        UploadTracker tracker =
-                new UploadTracker(
-                        connection.loop(), channel, inputLag, length - uploadedBytes, arrivedNanos);
-        ReadAheadBuffer readAhead =
-                ReadAheadBuffer.reserving(
-                        connection.buffers().readAhead(),
-                        length,
-                        this::retryReadAhead,
-                        exchange::giveUp);
-        StreamedBody body = new StreamedBody(head.headers(), length, this, readAhead);
-        exchange.setUpload(body, tracker);
-        uploading = exchange;
-        dispatcher.dispatchUpload(request, exchange, arrivedNanos);
-        connection.loop().schedule(READ_AHEAD_DELAY_NANOS, () -> waitForReadAhead(exchange));
+        upload.reject(request, receivedBytes, newExchange(request));
     }
 
     /** A body that waits for room is given up for one that may be sent at once. */
@@ -251,60 +237,6 @@
         return reserved;
     }
 
-    /**
-     * Waits for room to read a body ahead. One behind another that waits for an upstream does not
-     * wait: each of them would hold room while none of their ends is seen.
-     */
-    private void waitForReadAhead(ClientExchange exchange) {
-        exchange.upload().waitForReadAhead();
-        if (exchange.isUploadWaiting()
-                && exchange.upload().isPaused()
-                && responses.hasOtherWaitingUpload(exchange)) {
-            exchange.giveUp();
-        }
-    }
-
-    private void upload(HttpContent content) {
-        ClientExchange exchange = uploading;
-        uploadedBytes += content.content().readableBytes();
-        exchange.uploadTracker().onRead(content.content().readableBytes());
-        if (uploadedBytes > MessageFraming.MAX_STREAMED_BODY_BYTES) {
-            abortUpload(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
-            return;
-        }
-        exchange.upload().write(content.content().retain());
-        if (content instanceof LastHttpContent) {
-            uploading = null;
-            activity.onUploadComplete();
-            readActivity.onMessageComplete(decoder.hasBufferedBytes());
-            closeInputAfterLast(exchange);
-            exchange.upload().complete();
-        }
-    }
-
-    /**
-     * Cancels a request whose streamed body cannot be completed, and responds if still possible.
-     */
-    private void abortUpload(HttpResponseStatus status, String message) {
-        ClientExchange exchange = uploading;
-        uploading = null;
-        closing.closeInput();
-        exchange.upload().discard();
-        dispatcher.onMalformedRequest();
-        exchange.cancel();
-        if (exchange.isStreamStarted()) {
-            // A response is already being written and cannot be replaced by another one.
-            channel.close();
-        } else {
-            exchange.respondText(status, message);
-        }
-    }
-
-    /** Drops the rest of a streamed request body, because the response has been written already. */
-    void onUploadAbandoned() {
-        uploading = null;
-    }
-
     /** Rejects malformed input after which no further request can be read. */
     private void reject(HttpResponseStatus status, String message) {
         dispatcher.onMalformedRequest();
@@ -321,30 +253,6 @@
         exchange.respondText(status, message);
     }
 
-    /**
-     * Pauses reading: the target takes no more, and no more may be read ahead. A disconnect goes
-     * unnoticed until reading resumes.
-     */
-    @Override
-    public void pause() {
-        activity.onReadPaused();
-        inputLag.onPaused();
-        presence.onPaused();
-        if (uploading != null) {
-            uploading.uploadTracker().onPaused();
-        }
-        channel.config().setAutoRead(false);
-    }
-
-    @Override
-    public void resume() {
-        activity.onReadResumed();
-        if (uploading != null) {
-            uploading.uploadTracker().onResumed();
-        }
-        channel.config().setAutoRead(true);
-    }
-
     /** Handles the end of a read, after which all available input has been processed. */
     void onReadComplete() {
         requestsInRead = 0;
@@ -354,21 +262,13 @@
         boolean nothingLeft = channel.config().isAutoRead() && !readActivity.hasReachedReadLimit();
         inputLag.onReadComplete(now, readActivity.bytesRead(), nothingLeft);
         presence.onReadComplete(now, readActivity.bytesRead(), nothingLeft);
-        if (uploading != null) {
-            uploading.uploadTracker().onReadComplete();
-            uploading.upload().flush();
+        if (upload.isReceiving()) {
+            upload.onReadComplete();
         } else if (readActivity.hasPartialMessage()) {
             activity.onRequestStarted();
         }
     }
 
-    /** Reads on where reading was paused, if more may be read ahead by now. */
-    void retryReadAhead() {
-        if (uploading != null) {
-            uploading.upload().updateBackpressure();
-        }
-    }
-
     /** Drops the request being received, because the connection has closed. */
     void onChannelInactive() {
         buffer.discard();
@@ -383,13 +283,7 @@
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
             return true;
         }
-        if (uploading != null
-                && !activity.isReadPaused()
-                && activity.isRequestOverdue(now, timeouts, uploadedBytes)) {
-            abortUpload(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not end in time");
-            return true;
-        }
-        return false;
+        return upload.abortOverdue(now, timeouts);
     }
 
     private boolean isReceptionOverdue(long now, ClientTimeouts timeouts) {
--- a/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
+++ b/sidecar/src/main/java/appleridge/http1/ResponsePipeline.java
@@ -13,12 +13,19 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The open requests of one client connection in the order of their arrival. Writes their responses
  * in the same order, as HTTP/1.1 pipelining requires. Event loop only.
  */
 final class ResponsePipeline {
+    /**
+     * How long a response waits for the end of its request's body. Without the end the connection
+     * closes after it, and requests that have been sent behind the body get no response.
+     */
+    private static final long MAX_UPLOAD_END_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final ClientConnection connection;
     private final ClientListener listener;
     private final Channel channel;
@@ -76,6 +83,9 @@
     void writeReady() {
         while (!exchanges.isEmpty() && exchanges.peek().isWritable()) {
             ClientExchange first = exchanges.peek();
+            if (awaitsUploadEnd(first)) {
+                break;
+            }
             boolean mayContinue =
                     first.responseStream() != null ? stream(first) : writeWhole(first);
             if (!mayContinue) {
@@ -88,6 +98,34 @@
         listener.onResponsesWritten();
     }
 
+    /**
+     * Whether a response waits for the end of its request's body, which is discarded. One to a
+     * request whose time is up does not.
+     */
+    private boolean awaitsUploadEnd(ClientExchange exchange) {
+        if (exchange.response() == null
+                || !exchange.isUploadIncomplete()
+                || !exchange.isKeepAlive()
+                || exchange.response().status().equals(HttpResponseStatus.GATEWAY_TIMEOUT)
+                || closing.isInputClosed()) {
+            return false;
+        }
+        if (exchange.startAwaitingUploadEnd()) {
+            exchange.upload().discard();
+            connection
+                    .loop()
+                    .schedule(MAX_UPLOAD_END_WAIT_NANOS, () -> stopAwaitingUploadEnd(exchange));
+        }
+        return exchange.isUploadEndAwaited();
+    }
+
+    private void stopAwaitingUploadEnd(ClientExchange exchange) {
+        exchange.stopAwaitingUploadEnd();
+        if (isWaiting(exchange)) {
+            writeReady();
+        }
+    }
+
     /** Writes a buffered response. Returns whether the next one may follow. */
     private boolean writeWhole(ClientExchange exchange) {
         if (backlog.pendingBytes() > WriteBacklog.MAX_PENDING_BYTES) {
--- a/sidecar/src/test/java/appleridge/daemon/BufferLimitsTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/BufferLimitsTest.java
@@ -1,6 +1,7 @@
 package appleridge.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What clients see when the bytes that are buffered for all peers reach their limit. */
 @Timeout(60)
@@ -143,6 +146,50 @@
         }
     }
 
+    /**
+     * Guards against a request that is lost because it was sent behind an upload that is rejected:
+     * the upload's response waits for an earlier one, and tells the client too late.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {66_000, 100_000, 900_000})
+    void requestBehindARejectedUploadIsAnswered(int uploadBytes) throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        StubUpstream.Script served =
+                StubUpstream.respondWith(StubUpstream.response("200 OK", "fine"));
+        try (StubUpstream upstream =
+                        new StubUpstream(
+                                StubUpstream.firstThen(first, StubUpstream.SILENT, served));
+                LoopbackSidecar sidecar = sidecar(upstream);
+                TestClient client = sidecar.client()) {
+            client.send(TestClient.request("write", "0.3"));
+            upstream.nextRequest();
+            client.send(
+                    requestWithBody("write", uploadBytes)
+                            + requestWithBody("write", uploadBytes)
+                            + TestClient.request("write", "2.5"));
+            assertNotNull(client.read());
+            assertEquals(503, TestClient.status(client.read()));
+            assertEquals(503, TestClient.status(client.read()));
+            assertEquals(200, TestClient.status(client.read()));
+            awaitNothingBuffered(sidecar);
+        }
+    }
+
+    /** Guards against the same where no earlier response delays the rejection. */
+    @ParameterizedTest
+    @ValueSource(ints = {66_000, 100_000, 900_000})
+    void requestSentWithARejectedUploadIsAnswered(int uploadBytes) throws Exception {
+        String response = StubUpstream.response("200 OK", "fine");
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.respondWith(response));
+                LoopbackSidecar sidecar = sidecar(upstream);
+                TestClient client = sidecar.client()) {
+            client.send(requestWithBody("write", uploadBytes) + TestClient.request("write", "2.5"));
+            assertEquals(503, TestClient.status(client.read()));
+            assertEquals(200, TestClient.status(client.read()));
+            awaitNothingBuffered(sidecar);
+        }
+    }
+
     /** Guards against responses that wait without limit for the first one of their connection. */
     @Test
     void longResponsesBehindAnUnansweredRequestAreLimited() throws Exception {
