LATE allows an answer begun in time whose server stopped half a second beyond its deadline

So the trace shows an allowed case: for an answer whose first bytes were in time the end is due half a second after the deadline; everything else is as strict as before.

--- a/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
+++ b/testbed/src/test/java/appleridge/testbed/invariants/LateRuleTest.java
@@ -240,6 +240,22 @@
         assertEquals(List.of(Rule.LATE), fixture.rules());
     }
 
+    /**
+     * Guards against a finding for an answer that began in time and whose server stopped long
+     * before the deadline: its end may come as long as the request is not lost.
+     */
+    @Test
+    void answerThatItsServerNeverEndsMayEndHalfASecondAfterTheDeadline() {
+        fixture.answerBegunAt = S + 10 * MS;
+        fixture.lastAnswerReadAt = S + 10 * MS;
+        fixture.at(S).accepted("r", CheckerFixture.STOCK_CHECK, 2500 * MS);
+        long limit = S + (2500 + 500 + 5 + 5 + 5) * MS;
+        fixture.at(limit);
+        assertEquals(List.of(), fixture.rules());
+        fixture.after(1);
+        assertEquals(List.of(Rule.LATE), fixture.rules());
+    }
+
     /** Nothing extends the limit of an answer that began too late. */
     @Test
     void answerThatBeganTooLateIsLate() {
