Tests: one fixture for a sidecar process with its upstreams

Seven integration tests had the same set-up of discovery, targets and process, and the same closing. ProcessFixture does both; no test changes what it checks.

--- a/sidecar/src/test/java/appleridge/daemon/DepartedClientsIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/DepartedClientsIT.java
@@ -7,9 +7,6 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,13 +30,12 @@
     private static final long STALL_MILLIS = 600;
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private StubUpstream upstream;
     private SidecarProcess sidecar;
 
     @BeforeEach
     void start() throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
         upstream =
                 new StubUpstream(
                         (socket, request) -> {
@@ -47,23 +43,14 @@
                             StubUpstream.write(socket, StubUpstream.response("200 OK", "fine"));
                             return true;
                         });
-        opened.addAll(List.of(discovery, upstream));
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                LoopbackSidecar.targets(upstream)),
-                        Map.of());
-        opened.add(sidecar);
+        fixture.open(upstream);
+        fixture.addTarget("u0", upstream.address());
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     private long executions(String id) {
--- a/sidecar/src/test/java/appleridge/daemon/DepartedCrowdIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/DepartedCrowdIT.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -31,44 +30,28 @@
     private static final long AFTERWARDS_MILLIS = 1000;
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private final List<PacedUpstream> upstreams = new ArrayList<>();
     private SidecarProcess sidecar;
     private LatenessProbe probe;
 
     private void start(int silentUpstreams, int bytesPerSecond) throws IOException {
-        probe = new LatenessProbe();
-        opened.add(probe);
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        opened.add(discovery);
-        List<String> targets = new ArrayList<>();
+        probe = fixture.open(new LatenessProbe());
         for (int i = 0; i < UPSTREAMS; i++) {
-            PacedUpstream upstream = new PacedUpstream(bytesPerSecond, 0);
+            PacedUpstream upstream = fixture.open(new PacedUpstream(bytesPerSecond, 0));
             upstreams.add(upstream);
-            opened.add(upstream);
-            targets.add(LoopbackSidecar.target("u" + i, upstream.address(), "Ready"));
+            fixture.addTarget("u" + i, upstream.address());
         }
         for (int i = 0; i < silentUpstreams; i++) {
-            SilentUpstream silent = new SilentUpstream();
-            opened.add(silent);
-            targets.add(LoopbackSidecar.target("silent" + i, silent.address(), "Ready"));
+            SilentUpstream silent = fixture.open(new SilentUpstream());
+            fixture.addTarget("silent" + i, silent.address());
         }
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                targets.toArray(String[]::new)),
-                        Map.of());
-        opened.add(sidecar);
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     private DepartingCrowd.SoundResult play(DepartingCrowd.Load load, long stallMillis, long seed)
--- a/sidecar/src/test/java/appleridge/daemon/DepartedUploadsIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/DepartedUploadsIT.java
@@ -39,33 +39,20 @@
     private static final long PRESENT_MILLIS = 30;
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private final Map<String, Long> leftAtNanos = new ConcurrentHashMap<>();
     private PacedUpstream upstream;
     private SidecarProcess sidecar;
 
-    private void start(String... furtherTargets) throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        upstream = new PacedUpstream(FULL_SPEED, 0);
-        opened.addAll(List.of(discovery, upstream));
-        List<String> targets = new ArrayList<>(List.of(furtherTargets));
-        targets.add(LoopbackSidecar.target("u0", upstream.address(), "Ready"));
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                targets.toArray(String[]::new)),
-                        Map.of());
-        opened.add(sidecar);
+    private void start() throws IOException {
+        upstream = fixture.open(new PacedUpstream(FULL_SPEED, 0));
+        fixture.addTarget("u0", upstream.address());
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     /** Sends requests of one class and length on one connection, pipelined. */
@@ -133,9 +120,9 @@
     })
     void requestIsNotRetriedAfterItsClientLeft(
             int bodyBytes, int requests, int sendBufferBytes, boolean reset) throws Exception {
-        SilentUpstream silent = new SilentUpstream();
-        opened.add(silent);
-        start(LoopbackSidecar.target("silent", silent.address(), "Ready"));
+        SilentUpstream silent = fixture.open(new SilentUpstream());
+        fixture.addTarget("silent", silent.address());
+        start();
         for (int round = 0; round < ROUNDS; round++) {
             List<TestClient> clients = new ArrayList<>();
             List<List<String>> ids = new ArrayList<>();
--- a/sidecar/src/test/java/appleridge/daemon/MemoryLimitIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/MemoryLimitIT.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -37,38 +36,24 @@
     private static final int MANY_CLIENTS = 340;
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private final List<DiscardingUpstream> upstreams = new ArrayList<>();
     private SidecarProcess sidecar;
 
     /** Starts a sidecar before upstreams with responses of a length. */
     private void start(int responseBytes) throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        opened.add(discovery);
-        List<String> targets = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
             DiscardingUpstream upstream =
-                    new DiscardingUpstream(UPSTREAM_DELAY_MILLIS, responseBytes);
-            opened.add(upstream);
+                    fixture.open(new DiscardingUpstream(UPSTREAM_DELAY_MILLIS, responseBytes));
             upstreams.add(upstream);
-            targets.add(LoopbackSidecar.target("u" + i, upstream.address(), "Ready"));
+            fixture.addTarget("u" + i, upstream.address());
         }
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                targets.toArray(String[]::new)),
-                        Map.of());
-        opened.add(sidecar);
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     private ClosedLoopClients usualClients() {
@@ -78,7 +63,7 @@
                         USUAL_CLIENTS,
                         USUAL_PAUSE_MILLIS,
                         number -> TestClient.request("write", "2.0"));
-        opened.add(clients);
+        fixture.open(clients);
         return clients;
     }
 
--- a/sidecar/src/test/java/appleridge/daemon/SlowRequestsIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/SlowRequestsIT.java
@@ -8,9 +8,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -38,31 +35,20 @@
     private static final long SIGKILL_MILLIS = 3700;
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private SidecarProcess sidecar;
 
     private SlowReadingUpstream start(int stopAfterBytes, int bytesPerSecond) throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        SlowReadingUpstream upstream = new SlowReadingUpstream(stopAfterBytes, bytesPerSecond);
-        opened.add(discovery);
-        opened.add(upstream);
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                LoopbackSidecar.target("u0", upstream.address(), "Ready")),
-                        Map.of());
-        opened.add(sidecar);
+        SlowReadingUpstream upstream =
+                fixture.open(new SlowReadingUpstream(stopAfterBytes, bytesPerSecond));
+        fixture.addTarget("u0", upstream.address());
+        sidecar = fixture.startSidecar(folder);
         return upstream;
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     private static void sendRequest(Socket socket, int bodyBytes) throws IOException {
--- a/sidecar/src/test/java/appleridge/daemon/SlowResponsesIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/SlowResponsesIT.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -32,37 +31,28 @@
     /** The longest pause of an upstream in these tests, with a margin. */
     private static final int MAX_PAUSE_MILLIS = 5000;
 
+    private static final int UPSTREAMS = 2;
     private static final int[] LENGTHS = {90_000, 167_000, 300_000};
     private static final long[] PAUSES_MILLIS = {300, 700, 900};
 
     @TempDir private Path folder;
     private final ExecutorService clients = Executors.newCachedThreadPool();
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private SidecarProcess sidecar;
 
     @BeforeEach
     void start() throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        StubUpstream first = new StubUpstream(LongResponse::serveAsRequested);
-        StubUpstream second = new StubUpstream(LongResponse::serveAsRequested);
-        opened.addAll(List.of(discovery, first, second));
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                LoopbackSidecar.targets(first, second)),
-                        Map.of());
-        opened.add(sidecar);
+        for (int i = 0; i < UPSTREAMS; i++) {
+            StubUpstream upstream = fixture.open(new StubUpstream(LongResponse::serveAsRequested));
+            fixture.addTarget("u" + i, upstream.address());
+        }
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
         clients.shutdownNow();
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     /** Requests a response; returns what is wrong with it, or an empty text. */
--- a/sidecar/src/test/java/appleridge/daemon/StreamedRequestDeadlineIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/StreamedRequestDeadlineIT.java
@@ -7,7 +7,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Timeout;
@@ -29,30 +28,19 @@
     private static final int[] SEND_BUFFER_BYTES = {0, 48 << 10};
 
     @TempDir private Path folder;
-    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final ProcessFixture fixture = new ProcessFixture();
     private SidecarProcess sidecar;
 
     private void start(int bytesPerSecond, int receiveBufferBytes) throws IOException {
-        StubUpstream discovery = new StubUpstream(StubUpstream.SILENT);
-        PacedUpstream upstream = new PacedUpstream(bytesPerSecond, receiveBufferBytes);
-        opened.add(discovery);
-        opened.add(upstream);
-        sidecar =
-                SidecarProcess.start(
-                        folder,
-                        LoopbackSidecar.json(
-                                LoopbackSidecar.SettingValues.DEFAULT,
-                                discovery.address(),
-                                LoopbackSidecar.target("u0", upstream.address(), "Ready")),
-                        Map.of());
-        opened.add(sidecar);
+        PacedUpstream upstream =
+                fixture.open(new PacedUpstream(bytesPerSecond, receiveBufferBytes));
+        fixture.addTarget("u0", upstream.address());
+        sidecar = fixture.startSidecar(folder);
     }
 
     @AfterEach
     void close() throws Exception {
-        for (AutoCloseable each : opened) {
-            each.close();
-        }
+        fixture.close();
     }
 
     private List<PacedUpload.Result> sendAll(List<PacedUpload> uploads) {
