A held long response is passed on where a stall lets the deadline come first

Cause: a held response is passed on by a timer 20 ms before its deadline. When the loop is late by more, other things come first that look at the clock: a timer of the policy for an earlier request, which then fails all that are due, or the attempt's own time-out, because new bytes of the response set its timer anew, behind that one.

Change: whatever would end the request otherwise (rejection or failure by the policy, the attempt's time-out, the backstop) passes on the held response; the policy does not cancel an attempt whose response is streamed.

--- a/sidecar/src/main/java/appleridge/request/AttemptTracker.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptTracker.java
@@ -129,11 +129,12 @@
     /**
      * Times an attempt out. An attempt that was not fully written by then proves nothing about its
      * host, so it ends as {@link Outcome#NEVER_SENT}: reported as a failed connect, it would get a
-     * healthy host ejected.
+     * healthy host ejected. A long response that is held for a retry is streamed instead: normally
+     * that happens before, but a stall of the event loop lets both times pass at once.
      */
     private void timeOut(Attempt attempt) {
         reconciler.reconcile();
-        if (attempt.hasEnded()) {
+        if (attempt.hasEnded() || attempt.streamHeldResponse()) {
             return;
         }
         boolean fullyWritten = attempt.isFullyWritten();
--- a/sidecar/src/main/java/appleridge/request/PendingRequest.java
+++ b/sidecar/src/main/java/appleridge/request/PendingRequest.java
@@ -90,6 +90,16 @@
         return !ended && !isStreaming();
     }
 
+    /**
+     * Streams a long response that is held for a retry, if an attempt has one. Every final response
+     * other than that one would replace what the upstream host has begun to send.
+     *
+     * @return false if there is none, or the request has ended or is streamed already
+     */
+    boolean streamHeldResponse() {
+        return isUncommitted() && attempts.stream().anyMatch(Attempt::streamHeldResponse);
+    }
+
     /** Whether a part of the request or of its response has been streamed. */
     boolean isStreaming() {
         return streamingAttempt != null || requestStreaming;
--- a/sidecar/src/main/java/appleridge/request/PolicyActionExecutor.java
+++ b/sidecar/src/main/java/appleridge/request/PolicyActionExecutor.java
@@ -76,10 +76,11 @@
         attempts.start(request, upstream, timeoutNanos);
     }
 
+    /** A long response that is held for a retry is streamed instead. */
     @Override
     public void reject(long id, long waitNanos, AnswerReason reason) {
         PendingRequest request = accounting.find(id);
-        if (request != null && request.isUncommitted()) {
+        if (request != null && request.isUncommitted() && !request.streamHeldResponse()) {
             request.setPolicyReason(reason);
             completion.reject(
                     request,
@@ -88,11 +89,14 @@
         }
     }
 
-    /** Gives the client the known cause and no hint to retry. */
+    /**
+     * Gives the client the known cause and no hint to retry. A long response that is held for a
+     * retry is streamed instead.
+     */
     @Override
     public void fail(long id, AnswerReason reason) {
         PendingRequest request = accounting.find(id);
-        if (request != null && request.isUncommitted()) {
+        if (request != null && request.isUncommitted() && !request.streamHeldResponse()) {
             request.setPolicyReason(reason);
             boolean timedOut =
                     request.lastOutcome() == Outcome.TIMEOUT
@@ -102,11 +106,15 @@
         }
     }
 
+    /** An attempt whose response is being streamed is not cancelled: its client reads it. */
     @Override
     public void cancelAttempt(long id, int number) {
         PendingRequest request = accounting.find(id);
         if (request != null && number < request.attempts().size()) {
-            attempts.cancel(request.attempts().get(number));
+            Attempt attempt = request.attempts().get(number);
+            if (!request.isResponseStreamingFrom(attempt)) {
+                attempts.cancel(attempt);
+            }
         }
     }
 
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -339,8 +339,7 @@
      */
     private void expire(PendingRequest request) {
         reconciler.reconcile();
-        if (request.isUncommitted()
-                && request.attempts().stream().anyMatch(Attempt::streamHeldResponse)) {
+        if (request.streamHeldResponse()) {
             return;
         }
         if (request.isOpen()) {
--- a/sidecar/src/test/java/appleridge/daemon/SlowResponsesIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/SlowResponsesIT.java
@@ -1,16 +1,20 @@
 package appleridge.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import appleridge.daemon.LongResponse.Framing;
 import appleridge.daemon.LongResponse.Pace;
 import java.io.IOException;
 import java.io.PushbackInputStream;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
@@ -18,6 +22,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Runs the packaged jar before upstreams that write responses of more than 64 KiB slowly: the first
@@ -38,17 +44,26 @@
     @TempDir private Path folder;
     private final ExecutorService clients = Executors.newCachedThreadPool();
     private final ProcessFixture fixture = new ProcessFixture();
+
+    /** The ids of the requests that an upstream has begun to respond to. */
+    private final Set<String> begun = ConcurrentHashMap.newKeySet();
+
     private SidecarProcess sidecar;
 
     @BeforeEach
     void start() throws IOException {
         for (int i = 0; i < UPSTREAMS; i++) {
-            StubUpstream upstream = fixture.open(new StubUpstream(LongResponse::serveAsRequested));
+            StubUpstream upstream = fixture.open(new StubUpstream(this::serve));
             fixture.addTarget("u" + i, upstream.address());
         }
         sidecar = fixture.startSidecar(folder);
     }
 
+    private boolean serve(Socket socket, String request) throws IOException, InterruptedException {
+        begun.add(StubUpstream.header(request, "x-request-id") + " ");
+        return LongResponse.serveAsRequested(socket, request);
+    }
+
     @AfterEach
     void close() throws Exception {
         clients.shutdownNow();
@@ -57,14 +72,16 @@
 
     /** Requests a response; returns what is wrong with it, or an empty text. */
     private String exchange(LongResponse response, String requestClass, int timeoutMillis) {
-        String seen = response + " class " + requestClass;
+        String request =
+                TestClient.request(
+                        requestClass,
+                        String.valueOf(timeoutMillis / 1000.0),
+                        response.requestHeader());
+        String id = StubUpstream.header(request, "x-request-id");
+        String seen = id + " " + response + " class " + requestClass;
         try (TestClient client = new TestClient(sidecar.address())) {
             client.socket.setSoTimeout(timeoutMillis + LATE_MILLIS);
-            client.send(
-                    TestClient.request(
-                            requestClass,
-                            String.valueOf(timeoutMillis / 1000.0),
-                            response.requestHeader()));
+            client.send(request);
             PushbackInputStream in = new PushbackInputStream(client.socket.getInputStream());
             in.unread(in.read());
             client.socket.setSoTimeout(MAX_PAUSE_MILLIS);
@@ -93,6 +110,33 @@
         assertEquals(List.of(), failures, sidecar.log());
     }
 
+    /**
+     * Guards against a long response that its upstream has begun in time and that is replaced by a
+     * failure after a stall, because the deadline is looked at before the held response.
+     */
+    @ParameterizedTest
+    @CsvSource({"STEADY, 250, 300", "LATE_BODY, 100, 400", "LUMPS, 300, 300", "STEADY, 340, 80"})
+    void heldResponseIsPassedOnAfterAStall(Pace pace, long stallAfterMillis, long stallMillis)
+            throws Exception {
+        List<CompletableFuture<String>> exchanges = new ArrayList<>();
+        for (Framing framing : Framing.values()) {
+            for (int i = 0; i < LENGTHS.length; i++) {
+                LongResponse response =
+                        new LongResponse(framing, pace, LENGTHS[i], PAUSES_MILLIS[i]);
+                exchanges.add(
+                        CompletableFuture.supplyAsync(
+                                () -> exchange(response, "pay", 400), clients));
+            }
+        }
+        Thread.sleep(stallAfterMillis);
+        sidecar.pause(stallMillis);
+        List<String> failures = new ArrayList<>();
+        exchanges.forEach(each -> failures.add(each.join()));
+        failures.removeIf(failure -> begun.stream().noneMatch(failure::startsWith));
+        assertEquals(List.of(), failures, sidecar.log());
+        assertFalse(begun.isEmpty());
+    }
+
     /** Guards against a steady response whose first 64 KiB take longer than its deadline. */
     @Test
     void steadyLongResponseIsNotCutOffAtItsDeadline() throws Exception {
--- a/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
+++ b/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
@@ -25,6 +25,8 @@
 import java.util.PriorityQueue;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests requests from acceptance to response, with a manual clock and a transport whose responses
@@ -95,6 +97,9 @@
         boolean fullyWritten;
         boolean cancelled;
 
+        /** Whether a long response has begun that is held for a retry. */
+        boolean holdsResponse;
+
         SentAttempt(
                 Endpoint endpoint,
                 SendDeadlines deadlines,
@@ -114,6 +119,11 @@
             return fullyWritten;
         }
 
+        @Override
+        public boolean streamHeldResponse() {
+            return holdsResponse && listener.onResponseStarted(new StreamedResponse() {});
+        }
+
         @Override
         public void cancel() {
             cancelled = true;
@@ -321,6 +331,29 @@
         assertEquals(new InFlightCounts(0, 0, 0, 0), coordinator.inFlightCounts());
     }
 
+    /**
+     * Guards against a long response that its upstream has begun in time and that is replaced by a
+     * failure, because a stall of the event loop lets the deadline come before the response is
+     * passed on.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 30, 300, 2000})
+    void heldResponseIsStreamedAtADeadlineThatAStallHasBroughtForward(long stallMillis) {
+        Client client = new Client();
+        accept(client);
+        SentAttempt first = sent.get(0).write();
+        first.holdsResponse = true;
+        clock.advance(900 * MS);
+        clock.stall(stallMillis * MS);
+        clock.advance(1000 * MS);
+        assertEquals(List.of("streaming"), client.responses);
+        assertFalse(first.cancelled);
+        first.listener.onAttemptEnded(Outcome.OK, null);
+        assertEquals(List.of("streaming", "complete"), client.responses);
+        clock.advance(10_000 * MS);
+        assertEquals(new InFlightCounts(0, 0, 0, 0), coordinator.inFlightCounts());
+    }
+
     @Test
     void responseAfterTheDeadlineIsNotStreamed() {
         Client client = new Client();
