--- a/sidecar/src/main/java/appleridge/http1/ClientPresenceTracker.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientPresenceTracker.java
@@ -28,10 +28,11 @@
     static final long MAX_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(80);
 
     /**
-     * How long the window is open before silence proves that nothing is held back. The end of a
-     * connection waits for no acknowledgement (Nagle's algorithm), so that it comes at once.
+     * How long the window is open before silence proves that nothing is held back. Longer than the
+     * minimum retransmission timeout of TCP on Linux (200 ms), after which a client's system
+     * repeats a lost segment or asks again for the window.
      */
-    private static final long WINDOW_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    private static final long WINDOW_OPEN_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
     /** After this time an observation still counts, but a newer one is looked for. */
     private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
--- a/sidecar/src/test/java/appleridge/http1/ClientPresenceTrackerTest.java
+++ b/sidecar/src/test/java/appleridge/http1/ClientPresenceTrackerTest.java
@@ -116,7 +116,7 @@
         readNothing(tracker);
         assertFalse(isSeen(tracker), "the window was filled once more");
         assertEquals(0, wakeUps);
-        advance(10);
+        advance(240);
         readNothing(tracker);
         assertTrue(isSeen(tracker));
         channel.runPendingTasks();
@@ -147,7 +147,26 @@
         read(tracker, FEW_BYTES);
         readNothing(tracker);
         assertFalse(isSeen(tracker), "the window has just been opened");
-        advance(20);
+        advance(250);
+        readNothing(tracker);
+        assertTrue(isSeen(tracker));
+    }
+
+    /**
+     * Guards against an attempt for a departed client whose end comes only with a retransmission,
+     * 0.2 s after the window has opened.
+     */
+    @Test
+    void silenceOfLessThanARetransmissionTimeoutProvesNothingBehindAPause() {
+        ClientPresenceTracker tracker = tracker(0);
+        tracker.onPaused();
+        read(tracker, WINDOW_BYTES);
+        for (int millis = 0; millis < 200; millis += 10) {
+            advance(10);
+            readNothing(tracker);
+        }
+        assertFalse(isSeen(tracker));
+        advance(50);
         readNothing(tracker);
         assertTrue(isSeen(tracker));
     }
