--- a/sidecar/src/test/java/appleridge/daemon/BufferLimitsTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/BufferLimitsTest.java
@@ -20,6 +20,7 @@
 @Timeout(60)
 class BufferLimitsTest {
     private static final int LONG_BODY_BYTES = 60_000;
+    private static final long SLOW_CLIENT_PAUSE_MILLIS = 50;
 
     /** Room for three long requests of clients that hold nothing else. */
     private static final BufferLimits SMALL = new BufferLimits(440_000, 440_000, 440_000, 440_000);
@@ -190,6 +191,25 @@
         }
     }
 
+    /**
+     * Guards against a request that is read and gets no response because it was sent behind a
+     * rejected upload whose rest comes slowly.
+     */
+    @Test
+    void requestBehindARejectedUploadThatComesSlowlyIsAnswered() throws Exception {
+        String response = StubUpstream.response("200 OK", "fine");
+        try (StubUpstream upstream = new StubUpstream(StubUpstream.respondWith(response));
+                LoopbackSidecar sidecar = sidecar(upstream);
+                TestClient client = sidecar.client()) {
+            String upload = requestWithBody("write", 200_000);
+            client.send(upload.substring(0, 100_000));
+            Thread.sleep(SLOW_CLIENT_PAUSE_MILLIS);
+            client.send(upload.substring(100_000) + TestClient.request("write", "2.5"));
+            assertEquals(503, TestClient.status(client.read()));
+            assertNotNull(client.read());
+        }
+    }
+
     /** Guards against responses that wait without limit for the first one of their connection. */
     @Test
     void longResponsesBehindAnUnansweredRequestAreLimited() throws Exception {
