--- a/sidecar/src/main/java/appleridge/request/DecisionLog.java
+++ b/sidecar/src/main/java/appleridge/request/DecisionLog.java
@@ -20,6 +20,8 @@
         UNSENT,
         /** A request was answered as not executed. */
         REJECTED,
+        /** A request failed, or its response broke off. */
+        FAILED,
         /** A request ended because its client has disconnected. */
         DISCONNECTED,
         /** A request was dropped before it was accepted. */
@@ -68,7 +70,7 @@
         record(decision.label, id, attempt, clientSeenAgoNanos, now);
     }
 
-    /** Records that a request was answered as not executed, or ended by its client. */
+    /** Records that a request was answered as not executed, failed, or was ended by its client. */
     void recordEnd(
             Decision decision, EndReason reason, String id, long clientSeenAgoNanos, long now) {
         record(decision.label + "/" + reason.label(), id, -1, clientSeenAgoNanos, now);
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -60,6 +60,8 @@
             decisions.recordEnd(Decision.REJECTED, reason, request.id(), seenAgo, nowNanos);
         } else if (reason.end() == RequestEnd.CLIENT_DISCONNECTED) {
             decisions.recordEnd(Decision.DISCONNECTED, reason, request.id(), seenAgo, nowNanos);
+        } else if (reason.end() == RequestEnd.FAILED) {
+            decisions.recordEnd(Decision.FAILED, reason, request.id(), seenAgo, nowNanos);
         }
     }
 
--- a/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
+++ b/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
@@ -318,6 +318,16 @@
         assertEquals(new InFlightCounts(0, 0, 0, 0), coordinator.inFlightCounts());
     }
 
+    /** Guards against a response that breaks off and leaves no line with the request's id. */
+    @Test
+    void brokenOffResponseIsFoundInTheLogById() {
+        startStreaming(new Client()).listener.onAttemptEnded(Outcome.RESET, null);
+        coordinator.flushLog();
+        assertTrue(
+                events.stream().anyMatch(each -> each.contains("failed/response_broken_off:a:")),
+                events::toString);
+    }
+
     /** Guards against a host that keeps sending a response after the client has disconnected. */
     @Test
     void clientDisconnectCancelsAStreamedResponse() {
