A cancelled attempt no longer closes a connection that others use since it was refused to begin

What callers saw: a sound answer was cut off at a moment when another client left (502, 503, or a body without a length that ended early and looked whole: 58,419 of 175,257 bytes).

Change: with the end of the connect the attempt gives the handle up. Until it starts writing, the connection is not its own.

--- a/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
+++ b/sidecar/src/main/java/appleridge/http1/UpstreamCall.java
@@ -56,8 +56,12 @@
         connecting = connect;
     }
 
-    /** Handles the end of the connect. Returns false if the attempt has ended meanwhile. */
+    /**
+     * Handles the end of the connect. Returns false if the attempt has ended meanwhile. From now on
+     * the connection is not this attempt's own until it starts writing: others may be using it.
+     */
     boolean onConnected() {
+        connecting = null;
         if (!ended) {
             listener.onConnected();
         }
--- a/sidecar/src/test/java/appleridge/http1/UpstreamConnectionPoolTest.java
+++ b/sidecar/src/test/java/appleridge/http1/UpstreamConnectionPoolTest.java
@@ -10,6 +10,8 @@
 import appleridge.loadbalancing.Outcome;
 import appleridge.request.Endpoint;
 import appleridge.request.SendDeadlines;
+import appleridge.request.UpstreamResponse;
+import appleridge.request.UpstreamTransport;
 import appleridge.transport.NioSocketFactory;
 import appleridge.transport.SidecarEventLoop;
 import appleridge.transport.SocketFactory;
@@ -163,6 +165,63 @@
         }
     }
 
+    /**
+     * Guards against a response that is cut off, and looks complete, because an attempt is
+     * cancelled for which its connection was opened: that attempt may not begin and has left the
+     * connection to others.
+     */
+    @Test
+    void cancelledAttemptLeavesTheConnectionThatItHasNotUsed() throws Exception {
+        CountDownLatch beginRefused = new CountDownLatch(1);
+        CountDownLatch otherIsReading = new CountDownLatch(1);
+        CountDownLatch cancelled = new CountDownLatch(1);
+        Script slow =
+                (socket, request) -> {
+                    StubUpstream.write(socket, "HTTP/1.1 200 OK\r\n\r\nfirst ");
+                    otherIsReading.countDown();
+                    cancelled.await();
+                    StubUpstream.write(socket, "second");
+                    return false;
+                };
+        try (StubUpstream upstream = new StubUpstream(slow)) {
+            UpstreamConnectionPool pool = pool(10_000, 10);
+            UpstreamCall waiting =
+                    loop.submit(() -> sendRefusedToBegin(pool, upstream, beginRefused)).get();
+            beginRefused.await();
+            start(pool, upstream);
+            otherIsReading.await();
+            loop.submit(waiting::cancel).get();
+            cancelled.countDown();
+            Result result = nextResult();
+            assertEquals(Outcome.OK, result.outcome());
+            assertEquals(
+                    "first second",
+                    new String(result.response().body(), StandardCharsets.US_ASCII));
+            assertEquals(1, upstream.accepted.size());
+        }
+    }
+
+    /** Sends a request that may not begin once its connection is open. */
+    private UpstreamCall sendRefusedToBegin(
+            UpstreamConnectionPool pool, StubUpstream upstream, CountDownLatch refused) {
+        return (UpstreamCall)
+                pool.send(
+                        endpoint(1, upstream),
+                        REQUEST,
+                        NO_DEADLINES,
+                        new UpstreamTransport.AttemptListener() {
+                            @Override
+                            public boolean mayBegin(Runnable resume) {
+                                loop.execute(refused::countDown);
+                                return false;
+                            }
+
+                            @Override
+                            public void onAttemptEnded(
+                                    Outcome outcome, UpstreamResponse response) {}
+                        });
+    }
+
     /**
      * Guards against bytes after a response that are taken as the next one, even if they are not a
      * complete line.
