--- a/sidecar/src/main/java/appleridge/daemon/AdminService.java
+++ b/sidecar/src/main/java/appleridge/daemon/AdminService.java
@@ -17,6 +17,7 @@
 import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -74,6 +75,7 @@
                 .gauge("client_connections", cluster.listener::connectionCount)
                 .gauge("upstream_connections", cluster.connectionPool::connectionCount)
                 .gauge("upstreams_ready", coordinator::readyHostCount)
+                .gauge("endpoint_list_stale_milliseconds", () -> listStaleMillis(coordinator))
                 .gauge("upstreams_suspended", () -> maintenance.suspendedSince().size())
                 .gauge("event_loop_turns", loop::turnCount)
                 .gauge("event_loop_events", coordinator::eventCount)
@@ -85,6 +87,10 @@
                 .gauge("heap_used_bytes", AdminService::heapUsedBytes);
     }
 
+    private static long listStaleMillis(RequestCoordinator coordinator) {
+        return TimeUnit.NANOSECONDS.toMillis(coordinator.endpointListStaleNanos());
+    }
+
     private static void addBufferGauges(OpenMetricsReport metrics, UpstreamCluster cluster) {
         BufferBudgets buffers = cluster.buffers;
         for (BufferKind kind : BufferKind.values()) {
--- a/sidecar/src/main/java/appleridge/daemon/DiscoveryFactory.java
+++ b/sidecar/src/main/java/appleridge/daemon/DiscoveryFactory.java
@@ -38,6 +38,7 @@
                 config.pollsLocalAgent()
                         ? PollPolicy.AGENT
                         : PollPolicy.sharedService(
-                                config.settings().safetyLimits().pollIntervalNanos()));
+                                config.settings().safetyLimits().pollIntervalNanos()),
+                config.settings().safetyLimits().drainGraceNanos());
     }
 }
--- a/sidecar/src/main/java/appleridge/daemon/NodeDiscoveryAdapter.java
+++ b/sidecar/src/main/java/appleridge/daemon/NodeDiscoveryAdapter.java
@@ -5,6 +5,7 @@
 import appleridge.discovery.EndpointDiscovery;
 import appleridge.discovery.ephemeral.NodeDiscovery;
 import appleridge.discovery.ephemeral.SourceSelection;
+import appleridge.discovery.ephemeral.StalenessCause;
 import appleridge.loadbalancing.UpdateKind;
 import appleridge.request.Scheduler;
 import appleridge.transport.SidecarEventLoop;
@@ -67,6 +68,11 @@
     private boolean started;
     private boolean caughtUp = true;
 
+    /** Since when the nodes' changes are not confirmed to be handled, unless caught up. */
+    private long unconfirmedSinceNanos;
+
+    private boolean registryStale;
+
     /** True while the listener handles an update. */
     private boolean updating;
 
@@ -135,6 +141,16 @@
             resubscribeTask.cancel();
         }
         membership.onRegistryUpdate(loop.nanoTime(), kind, members);
+        notifyIfRegistryIsCurrentAgain();
+    }
+
+    /** An update that changes nothing is not published, and requests may wait for it. */
+    private void notifyIfRegistryIsCurrentAgain() {
+        boolean stale = registry.staleSinceNanos() != NOT_STALE;
+        if (started && registryStale && !stale) {
+            listener.onUpdate(UpdateKind.DELTA, List.of());
+        }
+        registryStale = stale;
     }
 
     private void onNodesUpdate(
@@ -181,14 +197,16 @@
      * even those threads: so this source has not caught up until the client has confirmed.
      */
     @Override
-    public void readPendingUpdates() {
+    public void readPendingUpdates(long stalledSinceNanos) {
+        unconfirmedSinceNanos =
+                caughtUp ? stalledSinceNanos : Math.min(unconfirmedSinceNanos, stalledSinceNanos);
         caughtUp = false;
         if (updating) {
             // The listener is handling an update; updates read now must be handled after it.
-            loop.execute(this::readPendingUpdates);
+            loop.execute(() -> readPendingUpdates(stalledSinceNanos));
             return;
         }
-        registry.readPendingUpdates();
+        registry.readPendingUpdates(stalledSinceNanos);
         client.catchUp();
         membership.tick(loop.nanoTime());
         long catchUp = ++catchUpCount;
@@ -206,6 +224,24 @@
         return caughtUp;
     }
 
+    /**
+     * While the nodes are known to be unavailable, the last list of them stays in force: nothing
+     * can have been received that is not handled.
+     */
+    @Override
+    public long staleSinceNanos() {
+        boolean nodesCurrent = caughtUp || membership.staleness() != StalenessCause.NONE;
+        long nodesStaleSince = nodesCurrent ? NOT_STALE : unconfirmedSinceNanos;
+        return selection == SourceSelection.BOTH
+                ? Math.min(nodesStaleSince, registry.staleSinceNanos())
+                : nodesStaleSince;
+    }
+
+    @Override
+    public boolean isFailing() {
+        return selection == SourceSelection.BOTH && registry.isFailing();
+    }
+
     @Override
     public void switchRegistry(InetSocketAddress address) {
         registry.switchRegistry(address);
--- a/sidecar/src/main/java/appleridge/daemon/ServeCommand.java
+++ b/sidecar/src/main/java/appleridge/daemon/ServeCommand.java
@@ -1,6 +1,7 @@
 package appleridge.daemon;
 
 import appleridge.config.SidecarConfig;
+import appleridge.transport.SystemTime;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -75,6 +76,8 @@
         useJdkLogging();
         SidecarConfig config = readConfig(configFile());
         try {
+            // A sidecar that polls a local agent loads this too.
+            SystemTime.processAgeNanos();
             SidecarRunner runner = new SidecarRunner();
             runner.open(onEphemeralPort(config), RuntimeOptions.DEFAULTS);
             runner.switchRegistry(runner.address());
--- a/sidecar/src/main/java/appleridge/daemon/SidecarRunner.java
+++ b/sidecar/src/main/java/appleridge/daemon/SidecarRunner.java
@@ -85,7 +85,10 @@
      */
     void open(SidecarConfig config, RuntimeOptions options)
             throws InterruptedException, ExecutionException {
-        SidecarEventLoop loop = newEventLoop(group.next(), System.Logger.Level.INFO);
+        // Read only where it counts, because it loads classes.
+        long processAgeNanos = config.pollsLocalAgent() ? SystemTime.processAgeNanos() : 0;
+        SidecarEventLoop loop =
+                newEventLoop(group.next(), System.Logger.Level.INFO, processAgeNanos);
         SocketFactory sockets = new NioSocketFactory();
         ChannelFuture listening = group.submit(() -> listen(loop, sockets, config, options)).get();
         address = (InetSocketAddress) listening.sync().channel().localAddress();
@@ -94,7 +97,7 @@
     /** Warms up the code that serves requests. Blocks until done. */
     void warmUp(SidecarConfig config) throws InterruptedException {
         WarmUp.run(
-                newEventLoop(group.next(), System.Logger.Level.DEBUG),
+                newEventLoop(group.next(), System.Logger.Level.DEBUG, 0),
                 new NioSocketFactory(),
                 config);
     }
@@ -123,12 +126,14 @@
         return sidecar.listening();
     }
 
-    private SidecarEventLoop newEventLoop(EventLoop executor, System.Logger.Level level) {
+    private SidecarEventLoop newEventLoop(
+            EventLoop executor, System.Logger.Level level, long processAgeNanos) {
         return new SidecarEventLoop(
                 executor,
                 SystemTime.UNIX_MILLIS,
                 new SystemLog(executor.ticker()::nanoTime, level),
-                eventLoops);
+                eventLoops,
+                processAgeNanos);
     }
 
     /** Switches to the registry at another address; requests are not affected. */
--- a/sidecar/src/main/java/appleridge/daemon/WarmUp.java
+++ b/sidecar/src/main/java/appleridge/daemon/WarmUp.java
@@ -235,6 +235,6 @@
         public void fetchEndpoints() {}
 
         @Override
-        public void readPendingUpdates() {}
+        public void readPendingUpdates(long stalledSinceNanos) {}
     }
 }
--- a/sidecar/src/main/java/appleridge/discovery/registry/PollPolicy.java
+++ b/sidecar/src/main/java/appleridge/discovery/registry/PollPolicy.java
@@ -33,6 +33,13 @@
                     true,
                     0);
 
+    /**
+     * Whether the registry is an agent on the same machine, which knows what counts as notified.
+     */
+    boolean isLocalAgent() {
+        return notificationDelayNanos == 0;
+    }
+
     /** The longest watch that the protocol allows. */
     private static final long MAX_WATCH_NANOS = TimeUnit.SECONDS.toNanos(60);
 
--- a/sidecar/src/main/java/appleridge/discovery/registry/RegistryConnection.java
+++ b/sidecar/src/main/java/appleridge/discovery/registry/RegistryConnection.java
@@ -5,6 +5,7 @@
 import appleridge.transport.SocketFactory;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -38,6 +39,7 @@
     private static final int MAX_RESPONSE_BYTES = 4 << 20;
     private static final long CONNECT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    private final SidecarEventLoop loop;
     private final SocketFactory sockets;
     private final InetSocketAddress address;
     private final Caller caller;
@@ -50,12 +52,15 @@
     private boolean callInFlight;
     private boolean dropped;
     private boolean keepAlive = true;
+    private long lastReceivedNanos;
+    private boolean written;
 
     RegistryConnection(
             SidecarEventLoop loop,
             SocketFactory sockets,
             InetSocketAddress address,
             Caller caller) {
+        this.loop = loop;
         this.sockets = sockets;
         this.address = address;
         this.caller = caller;
@@ -67,6 +72,7 @@
                                 opened ->
                                         opened.pipeline()
                                                 .addLast(
+                                                        new ReceiveTimeHandler(),
                                                         new HttpClientCodec(),
                                                         new HttpObjectAggregator(
                                                                 MAX_RESPONSE_BYTES),
@@ -82,6 +88,8 @@
     /** Sends a GET request, once connected. */
     void call(String uri) {
         callInFlight = true;
+        lastReceivedNanos = 0;
+        written = false;
         if (channel == null) {
             pendingUri = uri;
         } else {
@@ -98,7 +106,8 @@
         channel.writeAndFlush(request)
                 .addListener(
                         done -> {
-                            if (!done.isSuccess()) {
+                            written = done.isSuccess();
+                            if (!written) {
                                 channel.close();
                             }
                         });
@@ -111,6 +120,16 @@
         }
     }
 
+    /** Whether a call has been written to the socket and no byte of a response has arrived. */
+    boolean isUnanswered() {
+        return written && lastReceivedNanos == 0 && channel.isActive();
+    }
+
+    /** When bytes last arrived on this connection; 0 if none have since the last call. */
+    long lastReceivedNanos() {
+        return lastReceivedNanos;
+    }
+
     /** Closes the connection; the caller is no longer notified. */
     void drop() {
         dropped = true;
@@ -153,6 +172,14 @@
         }
     }
 
+    private final class ReceiveTimeHandler extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            lastReceivedNanos = loop.nanoTime();
+            ctx.fireChannelRead(bytes);
+        }
+    }
+
     private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
--- a/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
+++ b/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
@@ -4,14 +4,9 @@
 import appleridge.discovery.DiscoveryListener;
 import appleridge.discovery.EndpointDiscovery;
 import appleridge.loadbalancing.UpdateKind;
-import appleridge.request.Scheduler;
 import appleridge.transport.SidecarEventLoop;
 import appleridge.transport.SocketFactory;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpResponse;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -21,9 +16,7 @@
  * Follows the registry's endpoint list by watches, with one call at a time. The policy is notified
  * of each failure and decides when to subscribe again. Must be called on the event loop.
  */
-public final class RegistryDiscovery implements EndpointDiscovery, RegistryConnection.Caller {
-    private static final String LIST_PATH = "/registry/instances";
-
+public final class RegistryDiscovery implements EndpointDiscovery, RegistryCalls.Listener {
     /**
      * The shortest time between two watches if the first one brought no update, so that a registry
      * that answers each watch at once is not polled in a tight loop. Shorter than the 200 ms within
@@ -31,30 +24,22 @@
      */
     private static final long MIN_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * The shortest time between two calls if the first one failed. Far shorter than the 250 ms
+     * within which a drain may have to take effect that is known again.
+     */
+    private static final long MIN_FAILED_CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
+
     /** A call sent less than this ago was sent after an event-loop stall, not before it. */
     private static final long JUST_SENT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final SidecarEventLoop loop;
-    private final SocketFactory sockets;
-    private InetSocketAddress address;
     private final Optional<JsonNode> cachedEndpoints;
     private final EndpointListParser parser;
     private final DiscoveryListener listener;
-    private final ObjectMapper json = new ObjectMapper();
     private final PollPolicy pollPolicy;
-    private RegistryConnection connection;
-
-    /** A watch whose response is overdue and still accepted while another call polls. */
-    private RegistryConnection overdueWatch;
-
-    private Scheduler.ScheduledTask timeout = () -> {};
-    private boolean callInFlight;
-
-    /** When the watch in flight was sent; 0 while the call in flight is not a watch. */
-    private long watchSentAtNanos;
-
-    private long sentAtNanos;
-    private long previousSentAtNanos;
+    private final ListStaleness staleness;
+    private final RegistryCalls calls;
 
     /** Whether more may count as notified than was received; the next snapshot contains it. */
     private boolean behind;
@@ -71,7 +56,12 @@
     /** Revision that the overdue watch brought; the call sent beside it may bring an older one. */
     private long overdueRevision = Long.MIN_VALUE;
 
-    /** {@code cachedEndpoints}: the list that the sidecar starts with, in the registry's format. */
+    /**
+     * Creates a source that does nothing before {@link #start}.
+     *
+     * @param cachedEndpoints the list that the sidecar starts with, in the registry's format
+     * @param drainGraceNanos the time within which a drain has to take effect
+     */
     public RegistryDiscovery(
             SidecarEventLoop loop,
             SocketFactory sockets,
@@ -79,16 +69,16 @@
             Optional<JsonNode> cachedEndpoints,
             EndpointListParser parser,
             DiscoveryListener listener,
-            PollPolicy pollPolicy) {
+            PollPolicy pollPolicy,
+            long drainGraceNanos) {
         this.loop = loop;
-        this.sockets = sockets;
-        this.address = address;
         this.cachedEndpoints = cachedEndpoints;
         this.parser = parser;
         this.listener = listener;
         this.pollPolicy = pollPolicy;
-        // What a local agent knows counts as notified even before this process first polls it.
-        this.behind = pollPolicy.notificationDelayNanos() == 0;
+        this.staleness = new ListStaleness(pollPolicy, loop.processStartNanos(), drainGraceNanos);
+        this.calls = new RegistryCalls(loop, sockets, address, pollPolicy, this);
+        this.behind = pollPolicy.isLocalAgent();
     }
 
     @Override
@@ -107,16 +97,21 @@
     @Override
     public void subscribe(boolean on) {
         watching = on;
-        if (on && !callInFlight) {
-            watch();
+        if (on && !calls.isInFlight()) {
+            long rest = calls.sentAtNanos() + MIN_FAILED_CALL_INTERVAL_NANOS - loop.nanoTime();
+            if (failing && rest > 0) {
+                calls.scheduleNext(rest, this::watchAgain);
+            } else {
+                watch();
+            }
         }
     }
 
     /** Polls a snapshot in place of the watch in flight; a watch follows it. */
     @Override
     public void fetchEndpoints() {
-        dropAll();
-        call(LIST_PATH, 0);
+        calls.dropAll();
+        calls.pollSnapshot();
     }
 
     /**
@@ -126,38 +121,33 @@
      * it. A watch that is still in flight had no update to bring.
      */
     @Override
-    public void readPendingUpdates() {
+    public void readPendingUpdates(long stalledSinceNanos) {
         long now = loop.nanoTime();
-        long lastSentAtNanos = sentAtNanos;
+        long lastSentAtNanos = calls.sentAtNanos();
         boolean justSent = now - lastSentAtNanos < JUST_SENT_NANOS;
+        long sentBeforeNanos = justSent ? calls.previousSentAtNanos() : lastSentAtNanos;
         boolean wasBehind = behind;
-        behind |=
-                now - (justSent ? previousSentAtNanos : lastSentAtNanos)
-                        > pollPolicy.notificationDelayNanos();
+        boolean wasWatch = calls.isWatch();
+        behind |= now - sentBeforeNanos > pollPolicy.notificationDelayNanos();
         catchingUp = true;
-        if (overdueWatch != null) {
-            overdueWatch.readNow();
-        }
-        if (connection != null) {
-            connection.readNow();
-        }
+        calls.readNow();
         catchingUp = false;
-        boolean watchInFlight =
-                watching && callInFlight && watchSentAtNanos > 0 && lastSentAtNanos == sentAtNanos;
-        if (watchInFlight
-                && (behind && justSent
-                        || now - watchSentAtNanos
-                                > pollPolicy.watchNanos() + pollPolicy.watchGraceNanos())) {
+        boolean sameCall = calls.isInFlight() && lastSentAtNanos == calls.sentAtNanos();
+        boolean unanswered = !justSent && calls.isUnanswered(lastSentAtNanos);
+        staleness.onStall(
+                new ListStaleness.Stall(
+                        stalledSinceNanos, now, sentBeforeNanos, wasWatch, unanswered, failing));
+        boolean watchInFlight = watching && sameCall && calls.isWatch();
+        if (watchInFlight && (behind && justSent || calls.isWatchOverdue(now))) {
             behind = true;
-            timeout.cancel();
-            pollBesideWatch();
+            calls.pollBesideWatch();
         } else if (watchInFlight) {
             behind = wasBehind;
             if (!failing) {
                 // Requests that wait for an update must not wait for a watch that has none.
                 listener.onUpdate(UpdateKind.DELTA, List.of());
             }
-        } else if (behind && watching && !callInFlight && !failing) {
+        } else if (behind && watching && !calls.isInFlight() && !failing) {
             watch();
         }
     }
@@ -167,6 +157,16 @@
         return !behind;
     }
 
+    @Override
+    public long staleSinceNanos() {
+        return staleness.staleSinceNanos();
+    }
+
+    @Override
+    public boolean isFailing() {
+        return failing;
+    }
+
     /**
      * Switches to another registry, starting with a snapshot, because its revisions need not
      * continue the old registry's. The call in flight is kept until the new registry responds,
@@ -174,20 +174,11 @@
      */
     @Override
     public void switchRegistry(InetSocketAddress other) {
-        endCall();
-        // Of an overdue watch and the call beside it, the call is the one likely to be answered.
-        if (connection != null && !snapshotRequired) {
-            dropOverdue();
-        }
-        if (overdueWatch == null) {
-            overdueWatch = connection;
-        } else if (connection != null) {
-            connection.drop();
-        }
-        connection = null;
+        calls.switchAddress(other, !snapshotRequired);
         overdueRevision = Long.MIN_VALUE;
-        address = other;
         requireSnapshot();
+        staleness.onRegistrySwitched(loop.nanoTime());
+        behind |= pollPolicy.isLocalAgent();
         if (watching) {
             watch();
         }
@@ -201,42 +192,14 @@
     @Override
     public void close() {
         watching = false;
-        dropAll();
+        calls.dropAll();
     }
 
     private void watch() {
         if (snapshotRequired || behind || failing && pollPolicy.snapshotAfterFailure()) {
-            call(LIST_PATH, 0);
-            return;
-        }
-        long millis = TimeUnit.NANOSECONDS.toMillis(pollPolicy.watchNanos());
-        call(
-                LIST_PATH + "?since=" + revision + "&timeout_ms=" + millis,
-                TimeUnit.MILLISECONDS.toNanos(millis));
-    }
-
-    private void call(String uri, long watchNanos) {
-        timeout.cancel();
-        callInFlight = true;
-        previousSentAtNanos = sentAtNanos;
-        sentAtNanos = loop.nanoTime();
-        watchSentAtNanos = watchNanos > 0 ? sentAtNanos : 0;
-        if (connection == null || !connection.isUsable()) {
-            if (connection != null) {
-                connection.drop();
-            }
-            connection = new RegistryConnection(loop, sockets, address, this);
-        }
-        connection.call(uri);
-        if (watchNanos > 0) {
-            timeout =
-                    loop.schedule(watchNanos + pollPolicy.watchGraceNanos(), this::pollBesideWatch);
+            calls.pollSnapshot();
         } else {
-            // A machine that has failed sends nothing, not even a reset.
-            timeout =
-                    loop.schedule(
-                            watchNanos + pollPolicy.callTimeoutNanos(),
-                            () -> onFailure(connection, "no response in time"));
+            calls.watch(revision);
         }
     }
 
@@ -245,56 +208,38 @@
      * two seconds after the end of a watch, whether or not the watch was lost. Polling only once
      * the loss is certain would be too late for drains.
      */
-    private void pollBesideWatch() {
-        dropOverdue();
-        overdueWatch = connection;
-        connection = null;
-        call(LIST_PATH, 0);
-    }
-
     @Override
-    public void onResponse(RegistryConnection source, FullHttpResponse response) {
-        try {
-            if (response.status().code() != 200) {
-                onFailure(source, "response with status " + response.status().code());
-                return;
-            }
-            JsonNode list = json.readTree(ByteBufUtil.getBytes(response.content()));
-            if (source == overdueWatch) {
-                onOverdueResponse(list);
-            } else {
-                onTimelyResponse(list);
-            }
-        } catch (IOException | IllegalArgumentException e) {
-            onFailure(source, "malformed response: " + e.getMessage());
-        }
+    public void onWatchOverdue() {
+        calls.pollBesideWatch();
     }
 
     /** Handles the response to an overdue watch, beside which another call was sent. */
-    private void onOverdueResponse(JsonNode list) {
+    @Override
+    public void onOverdueList(JsonNode list) {
         EndpointListParser.Update update = parser.read(list);
         boolean old = update.revision() < revision && !snapshotRequired;
         if (!snapshotRequired && !old) {
             revision = update.revision();
             overdueRevision = revision;
         }
-        dropOverdue();
+        calls.dropOverdue();
         if (old) {
             return;
         }
         // Before the update is published: the policy takes any update as proof of an active
         // subscription, and would not subscribe again.
-        if (!callInFlight) {
+        if (!calls.isInFlight()) {
             watchAgain();
         }
         publish(update);
     }
 
-    private void onTimelyResponse(JsonNode list) {
+    @Override
+    public void onList(JsonNode list) {
         boolean old = list.path("rev").asLong() < overdueRevision;
         overdueRevision = Long.MIN_VALUE;
         if (old) {
-            endCall();
+            calls.endCall();
             watchAgain();
             return;
         }
@@ -303,22 +248,26 @@
             // An older list may revert a drain. A registry whose revisions have restarted gives the
             // same one when polled for a snapshot, and is believed then.
             requireSnapshot();
-            onFailure(
-                    connection,
-                    "list revision " + update.revision() + " is older than " + revision);
+            calls.failCall("list revision " + update.revision() + " is older than " + revision);
             return;
         }
-        endCall();
-        dropOverdue();
-        behind &= catchingUp || watchSentAtNanos > 0;
+        calls.endCall();
+        calls.dropOverdue();
+        behind &= catchingUp || calls.isWatch();
+        if (!behind) {
+            staleness.onListReceived();
+        }
         boolean changed = update.revision() != revision;
         revision = update.revision();
         snapshotRequired &= update.kind() != UpdateKind.SNAPSHOT;
-        long rest = watchSentAtNanos + MIN_WATCH_INTERVAL_NANOS - loop.nanoTime();
+        long rest =
+                calls.isWatch()
+                        ? calls.sentAtNanos() + MIN_WATCH_INTERVAL_NANOS - loop.nanoTime()
+                        : 0;
         if (changed || rest <= 0) {
             watchAgain();
         } else {
-            timeout = loop.schedule(rest, this::watchAgain);
+            calls.scheduleNext(rest, this::watchAgain);
         }
         publish(update);
     }
@@ -342,59 +291,12 @@
     }
 
     @Override
-    public void onFailure(RegistryConnection source, String reason) {
-        if (source == overdueWatch) {
-            dropOverdue();
-            return;
-        }
-        // An overdue watch is kept, because it may still bring its update.
-        endCall();
-        dropConnection();
+    public void onCallFailed(String reason) {
+        staleness.onCallFailed();
         if (!failing) {
             failing = true;
             loop.log().warning("discovery fails: " + reason);
         }
         listener.onUpdate(UpdateKind.FAILURE, List.of());
     }
-
-    /**
-     * Drops the overdue watch in favour of the call beside it: a lost watch would otherwise keep
-     * the only available socket.
-     */
-    @Override
-    public void onNoSocket(RegistryConnection source, String reason) {
-        if (source == connection && overdueWatch != null) {
-            dropOverdue();
-            endCall();
-            connection = null;
-            call(LIST_PATH, 0);
-        } else {
-            onFailure(source, "no socket: " + reason);
-        }
-    }
-
-    private void endCall() {
-        callInFlight = false;
-        timeout.cancel();
-    }
-
-    private void dropOverdue() {
-        if (overdueWatch != null) {
-            overdueWatch.drop();
-            overdueWatch = null;
-        }
-    }
-
-    private void dropConnection() {
-        if (connection != null) {
-            connection.drop();
-            connection = null;
-        }
-    }
-
-    private void dropAll() {
-        endCall();
-        dropOverdue();
-        dropConnection();
-    }
 }
--- a/sidecar/src/main/java/appleridge/http1/ClientListener.java
+++ b/sidecar/src/main/java/appleridge/http1/ClientListener.java
@@ -157,9 +157,12 @@
         acceptGate.onConnectionsChanged();
     }
 
-    /** Whether it can serve requests: warmed up, not draining, and with a ready upstream host. */
+    /**
+     * Whether it can serve requests: warmed up, not draining, and {@link
+     * RequestCoordinator#isReady}.
+     */
     public boolean isReady() {
-        return warmedUp && !drain.hasStarted() && coordinator.hasReadyHost();
+        return warmedUp && !drain.hasStarted() && coordinator.isReady();
     }
 
     SidecarEventLoop loop() {
--- a/sidecar/src/main/java/appleridge/loadbalancing/Capabilities.java
+++ b/sidecar/src/main/java/appleridge/loadbalancing/Capabilities.java
@@ -32,4 +32,12 @@
         Preconditions.requireNotNegative(maxRetryAfterNanos, "maxRetryAfterNanos");
         Preconditions.requireNotNegative(connectTimeoutNanos, "connectTimeoutNanos");
     }
+
+    /**
+     * Returns the Retry-After time that a rejection may carry in place of the one wanted; 0 if it
+     * may carry none.
+     */
+    public long allowedRetryAfterNanos(long wantedNanos) {
+        return retryAfter ? Math.min(wantedNanos, maxRetryAfterNanos) : 0;
+    }
 }
--- a/sidecar/src/main/java/appleridge/request/Attempt.java
+++ b/sidecar/src/main/java/appleridge/request/Attempt.java
@@ -120,6 +120,11 @@
         return isCancellable() && handle.streamHeldResponse();
     }
 
+    /** Whether the host may have executed the request, or may once the rest of it is written. */
+    boolean mayHaveBegunExecution() {
+        return mayHaveExecuted() || !hasEnded() && hasStartedWriting();
+    }
+
     /** Whether the host may have executed the request. */
     boolean mayHaveExecuted() {
         return hasEnded() ? !outcome.provesNotExecuted() : isFullyWritten();
--- a/sidecar/src/main/java/appleridge/request/AttemptTracker.java
+++ b/sidecar/src/main/java/appleridge/request/AttemptTracker.java
@@ -36,6 +36,7 @@
     private final EndpointDirectory endpoints;
     private final RequestAccounting accounting;
     private final StallReconciler reconciler;
+    private final EndpointListGate endpointList;
     private final ClientPresenceGate presenceGate;
     private final Listener listener;
 
@@ -47,6 +48,7 @@
             EndpointDirectory endpoints,
             RequestAccounting accounting,
             StallReconciler reconciler,
+            EndpointListGate endpointList,
             ClientPresenceGate presenceGate,
             Listener listener) {
         this.clock = clock;
@@ -56,6 +58,7 @@
         this.endpoints = endpoints;
         this.accounting = accounting;
         this.reconciler = reconciler;
+        this.endpointList = endpointList;
         this.presenceGate = presenceGate;
         this.listener = listener;
     }
@@ -220,8 +223,11 @@
 
         @Override
         public boolean mayBegin(Runnable resume) {
+            if (!endpointList.mayBegin(attempt, resume)) {
+                return false;
+            }
             boolean begins = presenceGate.mayBegin(attempt, resume);
-            if (!begins && !attempt.request().isAwaitingClient()) {
+            if (!begins && !attempt.request().clientWait().isActive()) {
                 endLater(attempt, Outcome.NEVER_SENT);
             }
             return begins;
--- a/sidecar/src/main/java/appleridge/request/ClientPresenceGate.java
+++ b/sidecar/src/main/java/appleridge/request/ClientPresenceGate.java
@@ -42,7 +42,7 @@
         }
         switch (request.client().clientPresence()) {
             case PRESENT -> {
-                request.stopAwaitingClient();
+                request.clientWait().end();
                 submission.run();
             }
             case UNKNOWN -> await(request, () -> submitWhenPresent(request, submission));
@@ -61,7 +61,7 @@
         PendingRequest request = attempt.request();
         ClientPresence presence = request.client().clientPresence();
         if (presence == ClientPresence.PRESENT) {
-            request.stopAwaitingClient();
+            request.clientWait().end();
             log.begun(attempt);
             return true;
         }
@@ -69,24 +69,25 @@
             log.waiting(attempt);
             await(request, resume);
         } else {
-            request.stopAwaitingClient();
+            request.clientWait().end();
         }
         return false;
     }
 
     private void await(PendingRequest request, Runnable resume) {
-        if (!request.isAwaitingClient()) {
+        RequestWait wait = request.clientWait();
+        if (!wait.isActive()) {
             log.awaitingClient(request);
-            request.awaitClient(
+            wait.begin(
                     scheduler.scheduleAt(
                             request.deadlineNanos() - settings.clockGranularityNanos(),
                             () -> rejectIfAwaiting(request)));
         }
-        request.client().whenMoreIsKnownOfClient(request.resumption(resume));
+        request.client().whenMoreIsKnownOfClient(wait.resumption(resume));
     }
 
     private void rejectIfAwaiting(PendingRequest request) {
-        if (request.isOpen() && request.isAwaitingClient()) {
+        if (request.isOpen() && request.clientWait().isActive()) {
             reject.accept(request);
         }
     }
--- a/sidecar/src/main/java/appleridge/request/DecisionLog.java
+++ b/sidecar/src/main/java/appleridge/request/DecisionLog.java
@@ -14,6 +14,8 @@
         BEGUN,
         /** An attempt waits, because nobody knows whether the client is there. */
         WAITING,
+        /** An attempt waits, because its host may be draining unknown to this process. */
+        WAITING_FOR_LIST,
         /** An attempt was cancelled. */
         CANCELLED,
         /** An attempt ended before its first byte was written. */
--- a/sidecar/src/main/java/appleridge/request/EndReason.java
+++ b/sidecar/src/main/java/appleridge/request/EndReason.java
@@ -18,6 +18,11 @@
     POLICY_REJECTED("policy_rejected", RequestEnd.REJECTED),
     /** Nobody knew that the client was still there, so that no attempt began. */
     CLIENT_PRESENCE_UNKNOWN("client_presence_unknown", RequestEnd.REJECTED),
+    /**
+     * The endpoint list was stale for so long that each host may be draining, so that no attempt
+     * began.
+     */
+    ENDPOINT_LIST_STALE("endpoint_list_stale", RequestEnd.REJECTED),
     /** A streamed request, which can't be sent again, failed and was provably not executed. */
     STREAMED_REQUEST_NOT_EXECUTED("streamed_request_not_executed", RequestEnd.REJECTED),
     /** Another open request has the same id. */
--- a/sidecar/src/main/java/appleridge/request/LogEvent.java
+++ b/sidecar/src/main/java/appleridge/request/LogEvent.java
@@ -14,6 +14,8 @@
     ATTEMPT_ENDED("attempt.ended"),
     /** Requests are deferred until discovery has caught up, or deferred requests are resumed. */
     REQUESTS_DEFERRED("requests.deferred"),
+    /** Whether attempts may begin by the endpoint list at hand has changed. */
+    ENDPOINT_LIST("endpoint_list.changed"),
     /** The sidecar closed a client's connection before the client did. */
     CLIENT_CONNECTION_CLOSED("client_connection.closed"),
     /** The sidecar closed the connection of an attempt that had not ended. */
--- a/sidecar/src/main/java/appleridge/request/PendingRequest.java
+++ b/sidecar/src/main/java/appleridge/request/PendingRequest.java
@@ -32,12 +32,8 @@
     private Attempt streamingAttempt;
 
     private boolean requestStreaming;
-    private boolean awaitingClient;
-
-    /** Null unless the request has waited for a sign of its client. */
-    private Scheduler.ScheduledTask awaitExpiry;
-
-    private final List<Resumption> resumptions = new ArrayList<>(0);
+    private final RequestWait clientWait = new RequestWait();
+    private final RequestWait endpointListWait = new RequestWait();
     private int outstandingAttempts;
     private boolean ended;
 
@@ -117,55 +113,19 @@
         return requestStreaming;
     }
 
-    /** A task that is dropped, with the body that it refers to, when its request ends. */
-    private static final class Resumption implements Runnable {
-        private Runnable task;
-
-        Resumption(Runnable task) {
-            this.task = task;
-        }
-
-        @Override
-        public void run() {
-            Runnable current = task;
-            task = null;
-            if (current != null) {
-                current.run();
-            }
-        }
-    }
-
-    /**
-     * Records that nothing is sent because nobody knows that the client is still there.
-     *
-     * @param expiry rejects the request if that lasts for too long
-     */
-    void awaitClient(Scheduler.ScheduledTask expiry) {
-        awaitingClient = true;
-        awaitExpiry = expiry;
-    }
-
-    /** Records that nothing waits for a sign of the client any more. */
-    void stopAwaitingClient() {
-        awaitingClient = false;
-        resumptions.forEach(each -> each.task = null);
-        resumptions.clear();
-        if (awaitExpiry != null) {
-            awaitExpiry.cancel();
-            awaitExpiry = null;
-        }
+    /** The wait until the client is known to be there. */
+    RequestWait clientWait() {
+        return clientWait;
     }
 
-    /** Returns a task that runs once, and only while the request waits for its client. */
-    Runnable resumption(Runnable task) {
-        Resumption resumption = new Resumption(task);
-        resumptions.add(resumption);
-        return resumption;
+    /** The wait until the endpoint list may be used. */
+    RequestWait endpointListWait() {
+        return endpointListWait;
     }
 
-    /** Whether nothing is sent because nobody knows that the client is still there. */
-    boolean isAwaitingClient() {
-        return awaitingClient;
+    /** Whether nothing of the request has been sent, or may still be, that a host may execute. */
+    boolean isProvenNotExecuted() {
+        return attempts.stream().noneMatch(Attempt::mayHaveBegunExecution);
     }
 
     /** Whether the request and all its attempts have ended. */
@@ -214,7 +174,8 @@
 
     void markEnded() {
         ended = true;
-        stopAwaitingClient();
+        clientWait.end();
+        endpointListWait.end();
     }
 
     /** Sets the rule by which the policy answers the request. */
--- a/sidecar/src/main/java/appleridge/request/PolicyActionExecutor.java
+++ b/sidecar/src/main/java/appleridge/request/PolicyActionExecutor.java
@@ -85,7 +85,7 @@
             completion.reject(
                     request,
                     EndReason.POLICY_REJECTED,
-                    settings.capabilities().retryAfter() ? waitNanos : 0);
+                    settings.capabilities().allowedRetryAfterNanos(waitNanos));
         }
     }
 
--- a/sidecar/src/main/java/appleridge/request/RequestCompletion.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCompletion.java
@@ -48,9 +48,11 @@
                         && request.attempts().stream().noneMatch(Attempt::mayHaveExecuted);
         if (unfinished) {
             reject(request, EndReason.STREAMED_REQUEST_NOT_EXECUTED, 0);
-        } else if (request.isAwaitingClient()
+        } else if (request.clientWait().isActive()
                 && request.attempts().stream().noneMatch(Attempt::mayHaveExecuted)) {
             reject(request, EndReason.CLIENT_PRESENCE_UNKNOWN, 0);
+        } else if (request.endpointListWait().isActive() && request.isProvenNotExecuted()) {
+            reject(request, EndReason.ENDPOINT_LIST_STALE, 0);
         } else {
             fail(request, EndReason.DEADLINE_EXCEEDED);
         }
--- a/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
+++ b/sidecar/src/main/java/appleridge/request/RequestCoordinator.java
@@ -20,13 +20,14 @@
  *
  * <ul>
  *   <li>{@link StallReconciler}: reads pending discovery updates and client input before each event
- *   <li>{@link DeferredRequests}: holds requests back until discovery has caught up
+ *   <li>{@link EndpointListGate}: holds back what is sent until the endpoint list may be used
  *   <li>{@link EndpointDirectory}: knows the upstream hosts
  *   <li>{@link ClientPresenceGate}: holds back what is sent until its client is known to be there
  *   <li>{@link AttemptTracker}: sends, times out and cancels attempts
  *   <li>{@link RequestDeadlines}: expires requests
  *   <li>{@link RequestAccounting}: tracks open requests and counts how requests end
  *   <li>{@link RequestCompletion}: gives requests their final response
+ *   <li>{@link RequestTerminator}: ends requests for reasons outside the policy
  *   <li>{@link PolicyInvoker}: passes events to the policy
  *   <li>{@link PolicyActionExecutor}: executes the policy's actions
  * </ul>
@@ -38,10 +39,11 @@
     private final PolicySettings settings;
     private final RequestLog requestLog;
     private final RequestAccounting accounting;
-    private final DeferredRequests deferred;
+    private final EndpointListGate endpointList;
     private final EndpointDirectory endpoints;
     private final StallReconciler reconciler;
     private final RequestCompletion completion;
+    private final RequestTerminator terminator;
     private final RequestDeadlines deadlines;
     private final AttemptTracker attempts;
     private final ClientPresenceGate presenceGate;
@@ -69,14 +71,33 @@
         this.settings = settings;
         this.requestLog = new RequestLog(clock, log);
         this.accounting = new RequestAccounting(maxOpenRequests, settings, clock, requestLog);
-        this.deferred = new DeferredRequests(clock, scheduler, requestLog);
+        this.endpointList =
+                new EndpointListGate(
+                        clock,
+                        scheduler,
+                        settings.safetyLimits().drainGraceNanos(),
+                        accounting,
+                        requestLog);
         this.endpoints = new EndpointDirectory(transport);
         this.reconciler =
                 new StallReconciler(
-                        clock, settings.safetyLimits().drainGraceNanos(), deferred, accounting);
+                        clock, settings.safetyLimits().drainGraceNanos(), endpointList, accounting);
         this.completion = new RequestCompletion(accounting, reconciler, log);
-        this.deadlines = new RequestDeadlines(clock, scheduler, settings, accounting, this::expire);
         this.policyInvoker = new PolicyInvoker(scheduler, log);
+        this.terminator =
+                new RequestTerminator(clock, settings, reconciler, completion, policyInvoker);
+        this.deadlines =
+                new RequestDeadlines(clock, scheduler, settings, accounting, terminator::expire);
+        this.presenceGate =
+                new ClientPresenceGate(
+                        scheduler, settings, requestLog, terminator::rejectUnknownClient);
+        this.attempts = newAttempts(scheduler, transport);
+        terminator.attach(attempts);
+        this.actions = newActions(scheduler, log);
+        policyInvoker.setPolicy(policy.apply(actions));
+    }
+
+    private AttemptTracker newAttempts(Scheduler scheduler, UpstreamTransport transport) {
         AttemptEventHandler attemptEvents =
                 new AttemptEventHandler(
                         clock,
@@ -86,9 +107,7 @@
                         completion,
                         deadlines,
                         policyInvoker);
-        this.presenceGate =
-                new ClientPresenceGate(scheduler, settings, requestLog, this::rejectUnknownClient);
-        this.attempts =
+        AttemptTracker tracker =
                 new AttemptTracker(
                         clock,
                         scheduler,
@@ -97,11 +116,11 @@
                         endpoints,
                         accounting,
                         reconciler,
+                        endpointList,
                         presenceGate,
                         attemptEvents);
-        attemptEvents.attach(attempts);
-        this.actions = newActions(scheduler, log);
-        policyInvoker.setPolicy(policy.apply(actions));
+        attemptEvents.attach(tracker);
+        return tracker;
     }
 
     private PolicyActionExecutor newActions(Scheduler scheduler, EventLog log) {
@@ -133,9 +152,7 @@
         subscription = source;
         reconciler.start(source);
         actions.start(source);
-        if (!source.isCaughtUp()) {
-            deferred.begin();
-        }
+        endpointList.start(source, terminator::giveUpWithoutEndpointList);
         policyInvoker.notify(policy -> policy.start(clock.nanoTime()));
         onEndpointUpdate(UpdateKind.CACHED_SNAPSHOT, cached, addresses);
     }
@@ -151,14 +168,17 @@
         policyInvoker.notify(policy -> policy.onEndpointUpdate(clock.nanoTime(), kind, hosts));
         attempts.cancelUnwrittenToHostsNotReady();
         reconciler.reconcile();
-        if (kind != UpdateKind.FAILURE && subscription.isCaughtUp()) {
-            deferred.resume();
-        }
+        endpointList.onUpdate(kind == UpdateKind.FAILURE);
     }
 
-    /** Whether discovery last reported some host as ready. */
-    public boolean hasReadyHost() {
-        return readyHostCount() > 0;
+    /** Whether requests can be served, or at least get the reason why not. */
+    public boolean isReady() {
+        return endpointList.isReady(readyHostCount() > 0);
+    }
+
+    /** For how long the endpoint list has not been current, in nanoseconds; 0 if it is. */
+    public long endpointListStaleNanos() {
+        return endpointList.staleForNanos();
     }
 
     /** The number of hosts that discovery last reported as ready. */
@@ -279,11 +299,8 @@
         PendingRequest pending = accounting.open(request, client, deadlines.deadlineNanos(request));
         deadlines.scheduleBackstop(pending);
         Runnable submission = () -> submit(pending);
-        if (deferred.isDeferring()) {
-            deferred.add(() -> presenceGate.submitWhenPresent(pending, submission));
-        } else {
-            presenceGate.submitWhenPresent(pending, submission);
-        }
+        endpointList.submitWhenUsable(
+                pending, () -> presenceGate.submitWhenPresent(pending, submission));
         return handle(pending);
     }
 
@@ -291,12 +308,12 @@
         return new AcceptedRequest() {
             @Override
             public void onClientDisconnected() {
-                clientDisconnected(request);
+                terminator.clientDisconnected(request);
             }
 
             @Override
             public void giveUp() {
-                RequestCoordinator.this.giveUp(request);
+                terminator.giveUp(request);
             }
         };
     }
@@ -333,65 +350,6 @@
                 false);
     }
 
-    /**
-     * Expires a request whose time is up and which the policy has not ended. A long response that
-     * is held for a retry is streamed instead.
-     */
-    private void expire(PendingRequest request) {
-        reconciler.reconcile();
-        if (request.streamHeldResponse()) {
-            return;
-        }
-        if (request.isOpen()) {
-            completion.expire(request);
-        }
-        release(request);
-    }
-
-    /**
-     * Rejects a request whose time is up and of whose client nobody knows that it is still there.
-     */
-    private void rejectUnknownClient(PendingRequest request) {
-        reconciler.reconcile();
-        if (request.isUncommitted()) {
-            completion.expire(request);
-            release(request);
-        }
-    }
-
-    private void giveUp(PendingRequest request) {
-        reconciler.reconcile();
-        if (request.isUncommitted()
-                && request.attempts().stream().noneMatch(Attempt::hasStartedWriting)) {
-            EndReason reason =
-                    request.isAwaitingClient()
-                            ? EndReason.CLIENT_PRESENCE_UNKNOWN
-                            : EndReason.BUFFER_LIMIT;
-            completion.reject(request, reason, 0);
-            release(request);
-        }
-    }
-
-    private void clientDisconnected(PendingRequest request) {
-        reconciler.reconcile();
-        if (request.isOpen()) {
-            completion.clientDisconnected(request);
-            release(request);
-        }
-    }
-
-    /**
-     * Cancels the unwritten attempts of a request that has ended, and all attempts of a streamed
-     * one, which the policy does not cancel; notifies the policy.
-     */
-    private void release(PendingRequest request) {
-        attempts.cancelUnwritten(request);
-        if (request.isStreaming()) {
-            request.attempts().forEach(attempts::cancel);
-        }
-        policyInvoker.notify(policy -> policy.onClientDisconnected(clock.nanoTime(), request.id()));
-    }
-
     /** Stops the policy: its timers do nothing from now on. */
     public void close() {
         actions.close();
--- a/sidecar/src/main/java/appleridge/request/RequestLog.java
+++ b/sidecar/src/main/java/appleridge/request/RequestLog.java
@@ -30,6 +30,11 @@
         record(Decision.WAITING, attempt);
     }
 
+    /** Logs that an attempt waits until the endpoint list may be used. */
+    void awaitingEndpointList(Attempt attempt) {
+        record(Decision.WAITING_FOR_LIST, attempt);
+    }
+
     /** Logs that a request waits from now on for a sign of its client. */
     void awaitingClient(PendingRequest request) {
         decisions.record(
@@ -199,6 +204,19 @@
                 () -> "state=resumed requests=" + requests + " stall_ms=0");
     }
 
+    /** Logs that attempts may begin by the endpoint list from now on, or may not. */
+    void endpointListUsable(boolean usable, long staleNanos, boolean discoveryFails) {
+        log.event(
+                LogEvent.ENDPOINT_LIST,
+                () ->
+                        "usable="
+                                + usable
+                                + " stale_ms="
+                                + millis(staleNanos)
+                                + " discovery_fails="
+                                + discoveryFails);
+    }
+
     private static long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos);
     }
--- a/sidecar/src/main/java/appleridge/request/StallReconciler.java
+++ b/sidecar/src/main/java/appleridge/request/StallReconciler.java
@@ -13,7 +13,7 @@
     private final MonotonicClock clock;
     private final long drainGraceNanos;
     private final EventLoopStallGuard guard;
-    private final DeferredRequests deferred;
+    private final EndpointListGate endpointList;
     private final RequestAccounting accounting;
 
     /** Null before {@link #start}. */
@@ -26,12 +26,12 @@
     StallReconciler(
             MonotonicClock clock,
             long drainGraceNanos,
-            DeferredRequests deferred,
+            EndpointListGate endpointList,
             RequestAccounting accounting) {
         this.clock = clock;
         this.drainGraceNanos = drainGraceNanos;
         this.guard = new EventLoopStallGuard(clock.nanoTime(), drainGraceNanos);
-        this.deferred = deferred;
+        this.endpointList = endpointList;
         this.accounting = accounting;
     }
 
@@ -49,14 +49,15 @@
         eventCount++;
         guard.observe(clock.nanoTime());
         boolean stalled = guard.isStalled();
-        if (stalled && guard.gapNanos() > drainGraceNanos && !deferred.isDeferring()) {
-            deferred.beginAfterStall(accounting.openRequests(), guard.gapNanos());
+        if (stalled && guard.gapNanos() > drainGraceNanos) {
+            endpointList.beginCatchUpAfterStall(accounting.openRequests(), guard.gapNanos());
         }
         if (guard.mayHaveMissedClients() && subscription != null && !reconciling) {
             reconciling = true;
             try {
                 if (stalled) {
-                    subscription.readPendingUpdates();
+                    subscription.readPendingUpdates(guard.lastEventNanos() - guard.gapNanos());
+                    endpointList.onPendingUpdatesRead();
                 }
                 readPendingClientInput();
             } finally {
--- a/sidecar/src/main/java/appleridge/transport/SidecarEventLoop.java
+++ b/sidecar/src/main/java/appleridge/transport/SidecarEventLoop.java
@@ -21,6 +21,7 @@
     private final SidecarClock clock;
     private final EventLog log;
     private final LoopActivity activity;
+    private final long processStartNanos;
 
     /**
      * Creates an instance that does not observe the turns of the event loop.
@@ -32,17 +33,39 @@
     }
 
     /**
-     * Creates an instance on Netty's event loop.
+     * Creates an instance on Netty's event loop, in a process that has just begun.
      *
      * @param unixMillis the wall clock's Unix time in milliseconds
      * @param activity observes the turns of the loop
      */
     public SidecarEventLoop(
             EventLoop executor, LongSupplier unixMillis, EventLog log, LoopActivity activity) {
+        this(executor, unixMillis, log, activity, 0);
+    }
+
+    /**
+     * Creates an instance on Netty's event loop.
+     *
+     * @param unixMillis the wall clock's Unix time in milliseconds
+     * @param activity observes the turns of the loop
+     * @param processAgeNanos the time since the process began
+     */
+    public SidecarEventLoop(
+            EventLoop executor,
+            LongSupplier unixMillis,
+            EventLog log,
+            LoopActivity activity,
+            long processAgeNanos) {
         this.activity = activity;
         this.executor = executor;
         this.clock = new SidecarClock(executor.ticker(), unixMillis);
         this.log = log;
+        this.processStartNanos = clock.now() - processAgeNanos;
+    }
+
+    /** When the process began, on this loop's clock. */
+    public long processStartNanos() {
+        return processStartNanos;
     }
 
     /** Netty's event loop, on which channels are registered. */
--- a/sidecar/src/test/java/appleridge/daemon/NodeDiscoveryAdapterTest.java
+++ b/sidecar/src/test/java/appleridge/daemon/NodeDiscoveryAdapterTest.java
@@ -65,7 +65,7 @@
         }
 
         @Override
-        public void readPendingUpdates() {}
+        public void readPendingUpdates(long stalledSinceNanos) {}
 
         @Override
         public void switchRegistry(InetSocketAddress other) {}
@@ -216,14 +216,14 @@
         client.pendingUpdates =
                 () -> client.membership.onNodeDeleted(loop.nanoTime(), loop.nanoTime(), 2, "n");
         advance(1000);
-        adapter.readPendingUpdates();
+        adapter.readPendingUpdates(loop.nanoTime());
         assertEquals(
                 HostState.DRAINING,
                 endpoints.get(endpoints.size() - 1).state(),
                 "delivered at once");
         assertFalse(adapter.isCaughtUp());
         Runnable first = client.confirmation;
-        adapter.readPendingUpdates();
+        adapter.readPendingUpdates(loop.nanoTime());
         first.run();
         assertFalse(adapter.isCaughtUp(), "this confirms an earlier request");
         client.confirmation.run();
--- a/sidecar/src/test/java/appleridge/daemon/SidecarProcess.java
+++ b/sidecar/src/test/java/appleridge/daemon/SidecarProcess.java
@@ -20,16 +20,21 @@
  * port for clients, an admin port and a log file.
  */
 final class SidecarProcess implements AutoCloseable {
+    /** The time in which a sidecar has to become ready, however slow its machine is. */
+    private static final long MAX_START_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private final Process process;
     private final int port;
     private final int admin;
+    private final Path config;
     private final Path log;
     private final List<Process> busyProcesses = new ArrayList<>();
 
-    private SidecarProcess(Process process, int port, int admin, Path log) {
+    private SidecarProcess(Process process, int port, int admin, Path config, Path log) {
         this.process = process;
         this.port = port;
         this.admin = admin;
+        this.config = config;
         this.log = log;
     }
 
@@ -42,11 +47,19 @@
      */
     static SidecarProcess start(Path folder, String json, Map<String, String> environment)
             throws IOException {
+        SidecarProcess sidecar = launch(folder, json, environment);
+        sidecar.awaitReady();
+        return sidecar;
+    }
+
+    /** Starts a sidecar as {@link #start} does, and does not wait until it is ready. */
+    static SidecarProcess launch(Path folder, String json, Map<String, String> environment)
+            throws IOException {
         int port = unusedPort();
         int admin = unusedPort();
         Path config = Files.createTempFile(folder, "config", ".json");
         Path log = Files.createTempFile(folder, "sidecar", ".log");
-        Files.writeString(config, json.replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\""));
+        Files.writeString(config, withPort(json, port));
         ProcessBuilder builder =
                 new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -63,9 +76,17 @@
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("BALANCER_ADMIN", "127.0.0.1:" + admin);
         Process process = builder.redirectErrorStream(true).redirectOutput(log.toFile()).start();
-        SidecarProcess sidecar = new SidecarProcess(process, port, admin, log);
-        sidecar.awaitReady();
-        return sidecar;
+        return new SidecarProcess(process, port, admin, config, log);
+    }
+
+    private static String withPort(String json, int port) {
+        return json.replace("127.0.0.1:1\"", "127.0.0.1:" + port + "\"");
+    }
+
+    /** Replaces the configuration, and sends SIGHUP. */
+    void reload(String json) throws IOException, InterruptedException {
+        Files.writeString(config, withPort(json, port));
+        signal("HUP");
     }
 
     private static int unusedPort() throws IOException {
@@ -74,8 +95,11 @@
         }
     }
 
-    private void awaitReady() throws IOException {
+    /** Waits until the sidecar reports that it is ready. */
+    void awaitReady() throws IOException {
+        long until = System.nanoTime() + MAX_START_NANOS;
         while (true) {
+            assertTrue(System.nanoTime() < until, "the sidecar is not ready");
             try (TestClient client = new TestClient(address())) {
                 String response = client.exchange("GET /health/ready HTTP/1.1\r\n\r\n");
                 if (response != null && TestClient.status(response) == 200) {
--- a/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
+++ b/sidecar/src/test/java/appleridge/request/RequestCoordinatorTest.java
@@ -197,6 +197,8 @@
     private final List<String> events = new ArrayList<>();
     private final List<String> failures = new ArrayList<>();
     private final List<Runnable> pendingUpdates = new ArrayList<>();
+    private long staleSinceNanos = EndpointSubscription.NOT_STALE;
+    private boolean discoveryFails;
     private final RequestCoordinator coordinator = coordinator(2000 * MS);
 
     private RequestCoordinator coordinator(long drainGraceNanos) {
@@ -388,10 +390,20 @@
                     public void fetchEndpoints() {}
 
                     @Override
-                    public void readPendingUpdates() {
+                    public void readPendingUpdates(long stalledSinceNanos) {
                         pendingUpdates.forEach(Runnable::run);
                         pendingUpdates.clear();
                     }
+
+                    @Override
+                    public long staleSinceNanos() {
+                        return staleSinceNanos;
+                    }
+
+                    @Override
+                    public boolean isFailing() {
+                        return discoveryFails;
+                    }
                 },
                 List.of(host(1, HostState.READY), host(2, HostState.READY)),
                 Map.of(1L, ADDRESS, 2L, ADDRESS));
@@ -777,4 +789,115 @@
         client.presence = ClientPresence.DISCONNECTED;
         assertFalse(attempt.listener.mayBegin(() -> {}));
     }
+
+    /** Makes the endpoint list stale, so that with the grace of 2 s it is not usable any more. */
+    private void makeListUnusable() {
+        staleSinceNanos = clock.nanoTime() - 1900 * MS;
+    }
+
+    private void failDiscovery() {
+        discoveryFails = true;
+        coordinator.onEndpointUpdate(UpdateKind.FAILURE, List.of(), Map.of());
+    }
+
+    private void makeListCurrent() {
+        staleSinceNanos = EndpointSubscription.NOT_STALE;
+        discoveryFails = false;
+        coordinator.onEndpointUpdate(UpdateKind.DELTA, List.of(), Map.of());
+    }
+
+    /**
+     * Guards against an attempt that begins when its connect completes, although its host may have
+     * begun to drain unheard since the attempt was ordered.
+     */
+    @Test
+    void connectingAttemptBeginsOnlyOnceTheListIsCurrent() {
+        Client client = sendRequest("a", 900 * MS);
+        makeListUnusable();
+        List<SentAttempt> resumed = new ArrayList<>();
+        SentAttempt attempt = sent.get(0);
+        assertFalse(attempt.listener.mayBegin(() -> resumed.add(attempt)));
+        clock.advance(100 * MS);
+        assertEquals(List.of(), resumed);
+        makeListCurrent();
+        assertEquals(List.of(attempt), resumed);
+        assertTrue(attempt.listener.mayBegin(() -> {}));
+        assertEquals(List.of(), client.responses);
+    }
+
+    /** Guards against a list that stays usable because nothing happens when its time is over. */
+    @Test
+    void listIsNotUsableFromTheEndOfTheDrainGrace() {
+        staleSinceNanos = clock.nanoTime();
+        sendRequest("a", 10_000 * MS);
+        assertTrue(sent.get(0).listener.mayBegin(() -> {}));
+        advanceWithTicks(1840 * MS);
+        assertTrue(sent.get(0).listener.mayBegin(() -> {}));
+        advanceWithTicks(20 * MS);
+        assertFalse(sent.get(0).listener.mayBegin(() -> {}));
+    }
+
+    /** Guards against requests that wait for discovery although it is known to fail. */
+    @Test
+    void requestsAreRejectedAtOnceWhenWaitingForTheListIsInVain() {
+        Client connecting = sendRequest("a", 900 * MS);
+        makeListUnusable();
+        failDiscovery();
+        assertEquals(List.of("rejected"), connecting.responses);
+        assertTrue(sent.get(0).cancelled);
+        Client later = sendRequest("b", 900 * MS);
+        clock.advance(1 * MS);
+        assertEquals(List.of("rejected"), later.responses);
+        assertEquals(1, sent.size());
+        assertTrue(events.stream().anyMatch(each -> each.contains("endpoint_list_stale")));
+    }
+
+    /** Guards against a rejection so late that the client has no time for another try. */
+    @Test
+    void requestWaitsForTheListForHalfOfItsTime() {
+        makeListUnusable();
+        Client client = sendRequest("a", 900 * MS);
+        clock.advance(400 * MS);
+        assertEquals(List.of(), client.responses);
+        clock.advance(50 * MS);
+        assertEquals(List.of("rejected"), client.responses);
+        assertEquals(0, sent.size());
+    }
+
+    /** Guards against a retry by a list that may hide a drain, and against two answers. */
+    @Test
+    void retryDoesNotBeginByAnUnusableListAndTheRequestIsAnsweredOnce() {
+        Client client = sendRequest("a", 900 * MS);
+        assertTrue(sent.get(0).listener.mayBegin(() -> {}));
+        sent.get(0).write();
+        makeListUnusable();
+        failDiscovery();
+        assertEquals(List.of(), client.responses, "it may still be served");
+        sent.get(0).listener.onAttemptEnded(Outcome.RESET, null);
+        for (int i = 1; i < sent.size(); i++) {
+            assertFalse(sent.get(i).listener.mayBegin(() -> {}));
+        }
+        clock.advance(1000 * MS);
+        assertEquals(1, client.responses.size(), client.responses.toString());
+        assertEquals(new InFlightCounts(0, 0, 0, 0), coordinator.inFlightCounts());
+    }
+
+    /** Guards against a sidecar that is never ready, or ready at once without a usable list. */
+    @Test
+    void readinessIsDelayedWithoutAUsableListButNotForLong() {
+        makeListUnusable();
+        assertFalse(coordinator.isReady());
+        clock.advance(1900 * MS);
+        assertFalse(coordinator.isReady());
+        clock.advance(100 * MS);
+        assertTrue(coordinator.isReady());
+    }
+
+    /** Guards against a ready sidecar that is taken out of service by an outage of discovery. */
+    @Test
+    void readySidecarStaysReadyWhenItsListBecomesUnusable() {
+        assertTrue(coordinator.isReady());
+        makeListUnusable();
+        assertTrue(coordinator.isReady());
+    }
 }
--- a/testbed/src/test/java/appleridge/testbed/campaign/Front.java
+++ b/testbed/src/test/java/appleridge/testbed/campaign/Front.java
@@ -325,6 +325,6 @@
         public void fetchEndpoints() {}
 
         @Override
-        public void readPendingUpdates() {}
+        public void readPendingUpdates(long stalledSinceNanos) {}
     }
 }
