--- a/testbed/src/main/java/appleridge/testbed/campaign/DayPlayer.java
+++ b/testbed/src/main/java/appleridge/testbed/campaign/DayPlayer.java
@@ -194,6 +194,7 @@
         return InvariantBounds.defaults()
                 .withDelays(plan.maxClientTransferNanos(), plan.maxLoopBacklogNanos())
                 .withAskWithin(plan.size(ScenarioParameter.ASK_WITHIN))
+                .withDrainGrace(plan.size(ScenarioParameter.DRAIN_GRACE))
                 .withWindowOfZones(plan.size(ScenarioParameter.KEY_WINDOW))
                 .withLongestDeadline(plan.size(ScenarioParameter.LONGEST_DEADLINE))
                 .withMaxRetryAfter(plan.size(ScenarioParameter.RETRY_AFTER));
--- a/testbed/src/main/java/appleridge/testbed/invariants/DayListener.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/DayListener.java
@@ -240,6 +240,12 @@
     /** Which sources list the servers on this day; reported before anything else. */
     default void discoverySources(boolean registry, boolean nodes) {}
 
+    /**
+     * Lists are pushed to an agent beside each sidecar on this day: what the agent has counts as
+     * delivered, whether or not the sidecar calls it.
+     */
+    default void listsPushed() {}
+
     /**
      * The coordination service has written this state to the sidecar; it is no older than what it
      * wrote before. Unknown means that it cannot be determined what the sidecar makes of the data.
--- a/testbed/src/main/java/appleridge/testbed/invariants/DayListenerFanOut.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/DayListenerFanOut.java
@@ -384,6 +384,14 @@
         }
     }
 
+    @Override
+    public final void listsPushed() {
+        before();
+        for (DayListener each : listeners) {
+            each.listsPushed();
+        }
+    }
+
     @Override
     public final void faultArmed(String kind, String at) {
         before();
--- a/testbed/src/main/java/appleridge/testbed/invariants/DeliveredLists.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/DeliveredLists.java
@@ -17,7 +17,9 @@
  *       that call;
  *   <li>4 s after SIGHUP; a pending call that is due later belongs to the old discovery client and
  *       is dropped;
- *   <li>to a sidecar without a call for {@code askWithin}: everything known that long ago.
+ *   <li>to a sidecar without a call for {@code askWithin}: everything known that long ago;
+ *   <li>where lists are pushed: all that the agent has, at once and from the first moment of a
+ *       process. During an outage the agent learns nothing.
  * </ul>
  *
  * <p>If discovery was unreachable meanwhile, all of this counts 6 s after it is reachable again at
@@ -44,6 +46,12 @@
         private final Map<Long, Call> calls = new HashMap<>();
         private final List<long[]> unreachable = new ArrayList<>(1);
 
+        /** When its agent answered nothing, and learned nothing; used if lists are pushed. */
+        private final List<long[]> outages = new ArrayList<>(1);
+
+        /** Until then nothing more counts, because the agent has another address. */
+        private long reloadingUntil;
+
         /** Since when no call is pending. */
         private long silentSince;
 
@@ -67,6 +75,9 @@
     /** Whether the coordination service also lists servers; its updates are not tracked here. */
     private boolean usesNodes;
 
+    /** Whether what a sidecar's agent has counts as delivered. */
+    private boolean pushed;
+
     DeliveredLists(InvariantBounds bounds, ScheduledChecks checks) {
         this.bounds = bounds;
         this.checks = checks;
@@ -138,7 +149,59 @@
         DiscoveryClient client = client(sidecar);
         client.incarnations.add(new DeliveredUpdates(history, checks.now()));
         client.calls.clear();
+        client.reloadingUntil = 0;
         startSilence(client);
+        countPushed(client);
+    }
+
+    /** Counts as delivered what the agent has now, and once it learns more, what it has then. */
+    private void countPushed(DiscoveryClient client) {
+        if (!pushed) {
+            return;
+        }
+        long now = checks.now();
+        DeliveredUpdates updates = client.current();
+        if (now < client.reloadingUntil) {
+            checks.at(client.reloadingUntil, () -> countPushedTo(client, updates));
+            return;
+        }
+        long[] outage = outageAt(client, now);
+        long learnedUntil = outage[0];
+        long outageEnd = outage[1];
+        updates.countUpTo(learnedUntil, now);
+        if (outageEnd > now) {
+            checks.at(outageEnd, () -> countPushedTo(client, updates));
+        }
+    }
+
+    /** Returns the start and end of the outages that follow each other up to now, if any. */
+    private static long[] outageAt(DiscoveryClient client, long now) {
+        long[] whole = {now, now};
+        boolean extended = true;
+        while (extended) {
+            extended = false;
+            for (long[] each : client.outages) {
+                boolean meets = each[0] <= whole[1] && whole[0] <= each[1] && each[1] > now;
+                boolean before = each[0] < whole[0] && whole[0] <= each[1] && whole[0] < now;
+                if ((meets || before) && (each[0] < whole[0] || each[1] > whole[1])) {
+                    whole[0] = Math.min(whole[0], each[0]);
+                    whole[1] = Math.max(whole[1], each[1]);
+                    extended = true;
+                }
+            }
+        }
+        return whole;
+    }
+
+    private void countPushedTo(DiscoveryClient client, DeliveredUpdates updates) {
+        if (client.current() == updates) {
+            countPushed(client);
+        }
+    }
+
+    @Override
+    public void listsPushed() {
+        pushed = true;
     }
 
     @Override
@@ -167,12 +230,13 @@
         for (DiscoveryClient each : clientsInOrder) {
             DeliveredUpdates updates = each.current();
             checks.at(checks.now() + bounds.askWithin(), () -> checkSilence(each, updates));
+            countPushed(each);
         }
     }
 
     @Override
     public void listDelivered(String sidecar, String uid, String state, long bornAt) {
-        client(sidecar).current().delivered(checks.now(), uid, state, bornAt);
+        client(sidecar).current().delivered(checks.now(), uid, state, bornAt, pushed);
     }
 
     @Override
@@ -266,6 +330,8 @@
             startSilence(client);
         }
         DeliveredUpdates updates = client.current();
+        client.reloadingUntil = due;
+        countPushed(client);
         checks.at(due, () -> countAfterReload(client, updates, now, due));
     }
 
@@ -303,5 +369,6 @@
     @Override
     public void discoveryUnreachable(String sidecar, long from, long until) {
         client(sidecar).unreachable.add(new long[] {from, until});
+        client(sidecar).outages.add(new long[] {from, until});
     }
 }
--- a/testbed/src/main/java/appleridge/testbed/invariants/DeliveredNodes.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/DeliveredNodes.java
@@ -52,7 +52,7 @@
         if (updates != null && state.equals("Unknown")) {
             updates.forget(uid);
         } else if (updates != null) {
-            updates.delivered(checks.now(), uid, state, bornAt);
+            updates.delivered(checks.now(), uid, state, bornAt, false);
         }
     }
 
--- a/testbed/src/main/java/appleridge/testbed/invariants/DeliveredUpdates.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/DeliveredUpdates.java
@@ -52,11 +52,14 @@
     /**
      * Records an entry that discovery has written to the sidecar. A draining state from a list
      * older than one delivered before is ignored: the sidecar knows better and may go on.
+     *
+     * @param readyToo whether a ready state that is older is ignored too, because what counts as
+     *     delivered does so from before the sidecar could ask
      */
-    void delivered(long now, String uid, String state, long bornAt) {
+    void delivered(long now, String uid, String state, long bornAt, boolean readyToo) {
         Server server = server(uid);
         int historyIndex = history.lastIndex(uid, state, bornAt);
-        if (historyIndex < server.historyIndex && !state.equals("Ready")) {
+        if (historyIndex < server.historyIndex && (readyToo || !state.equals("Ready"))) {
             return;
         }
         server.previousHistoryIndex = server.historyIndex;
--- a/testbed/src/main/java/appleridge/testbed/invariants/InvariantBounds.java
+++ b/testbed/src/main/java/appleridge/testbed/invariants/InvariantBounds.java
@@ -139,6 +139,29 @@
                 servedShare);
     }
 
+    /** Returns a copy with another time from the delivery of a drain to the last send. */
+    public InvariantBounds withDrainGrace(long grace) {
+        return new InvariantBounds(
+                classes,
+                answerSlack,
+                reactionTime,
+                socketSlack,
+                linkDelay,
+                loopDelay,
+                grace,
+                tipAfter,
+                askWithin,
+                callDeliveryLimit,
+                watchDeliveryLimit,
+                reloadDeliveryLimit,
+                longestDeadline,
+                killAfter,
+                connectsAfterTerm,
+                maxRetryAfter,
+                recovery,
+                servedShare);
+    }
+
     /**
      * Returns a copy with another window for the classes whose repeats are detected only within a
      * zone.
--- a/testbed/src/main/java/appleridge/testbed/simulation/FaultOverlaps.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/FaultOverlaps.java
@@ -134,7 +134,9 @@
         if (!state.equals(Instances.TERMINATING)) {
             reportedDrains.remove(drain);
         } else if (reportedDrains.add(drain)) {
-            gracePeriods.add(new GracePeriod(sidecar, day.now() + Site.DRAIN_GRACE));
+            gracePeriods.add(
+                    new GracePeriod(
+                            sidecar, day.now() + day.plan.size(ScenarioParameter.DRAIN_GRACE)));
             for (ObservedRequest each : states.at(sidecar)) {
                 if (uid.equals(each.server()) && each.state() != RequestState.ANSWERED) {
                     day.evidence.faultHit(DRAIN_TOLD, each.id(), each.state());
--- a/testbed/src/main/java/appleridge/testbed/simulation/PlanDraw.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/PlanDraw.java
@@ -69,6 +69,9 @@
     /** Fraction of the days with clients that send long requests and disconnect. */
     private static final double DEPARTING_DAYS = 0.15;
 
+    /** Fraction of the days on which lists are pushed, with outages around restarts and drains. */
+    private static final double PUSHED_LIST_DAYS = 0.1;
+
     /** What the head of a request occupies in a sidecar beside its body, about. */
     private static final long HEAD_MEMORY_BYTES = 3000;
 
@@ -103,6 +106,7 @@
         faults.addAll(drawMembership());
         faults.addAll(drawBuffers());
         faults.addAll(drawDeparting());
+        drawPushedLists(faults);
         return new Plan(seed, sizes, faults);
     }
 
@@ -408,6 +412,81 @@
                 values);
     }
 
+    /**
+     * Draws a day on which lists are pushed to an agent, which answers at once or, while discovery
+     * is down, not at all. In place of the day's other faults, servers drain around outages in
+     * which sidecars restart, pause or get a new configuration. Uses an own stream so that all
+     * other draws stay the same.
+     */
+    private void drawPushedLists(List<Fault> faults) {
+        SeededRandom own = new SeededRandom(seed).stream("plan.pushed");
+        if (!own.hits(PUSHED_LIST_DAYS)) {
+            return;
+        }
+        faults.clear();
+        sizes.put(ScenarioParameter.LISTS_PUSHED, 1L);
+        sizes.put(ScenarioParameter.DRAIN_GRACE, millis(own.between(300 * MS, 2 * S)));
+        sizes.put(ScenarioParameter.CALL_COST, 0L);
+        sizes.put(ScenarioParameter.KNOWN, 1L);
+        sizes.put(ScenarioParameter.KNOWN_AGE, millis(own.between(0, 5 * S)));
+        sizes.put(ScenarioParameter.LOSS, 0L);
+        for (long i = own.between(1, 3); i > 0; i--) {
+            drawOutage(own, faults);
+        }
+    }
+
+    private void drawOutage(SeededRandom own, List<Fault> faults) {
+        long begin = own.between(2 * S, size(ScenarioParameter.FAULTS_END) - 2 * S);
+        FaultKind outage =
+                own.pick(List.of(FaultKind.LIST_DOWN, FaultKind.LIST_HANG, FaultKind.LIST_503));
+        faults.add(timed(begin, outage, null, FaultParameter.FOR, own.between(300 * MS, 8 * S)));
+        String sidecar = "n" + own.nextInt((int) size(ScenarioParameter.SIDECARS));
+        long disrupted = begin + own.between(-S, S);
+        switch (own.nextInt(4)) {
+            case 0 ->
+                    faults.add(
+                            timed(
+                                    disrupted,
+                                    FaultKind.PAUSE,
+                                    sidecar,
+                                    FaultParameter.FOR,
+                                    own.between(200 * MS, 4 * S)));
+            case 1 ->
+                    faults.add(
+                            new Fault(
+                                    FaultTrigger.time(millis(disrupted)),
+                                    FaultKind.MOVE,
+                                    null,
+                                    null,
+                                    new TreeMap<>()));
+            default ->
+                    faults.add(
+                            timed(
+                                    disrupted,
+                                    FaultKind.KILL,
+                                    sidecar,
+                                    FaultParameter.DOWN,
+                                    own.between(50 * MS, S)));
+        }
+        // Discovery notices a drain only some time after it began.
+        long drained = begin + own.between(-2 * S, S) - size(ScenarioParameter.NOTICE);
+        String server = "s" + own.nextInt((int) size(ScenarioParameter.SERVERS));
+        faults.add(
+                timed(
+                        Math.max(S, drained),
+                        FaultKind.DRAIN,
+                        server,
+                        FaultParameter.DOWN,
+                        own.between(2 * S, 4 * S)));
+    }
+
+    private static Fault timed(
+            long at, FaultKind kind, String who, FaultParameter parameter, long value) {
+        TreeMap<FaultParameter, Long> values = new TreeMap<>();
+        values.put(parameter, millis(value));
+        return new Fault(FaultTrigger.time(millis(at)), kind, who, null, values);
+    }
+
     /** Enables some kinds of fault for the day, and draws the faults from these. */
     private List<Fault> drawFaults() {
         SeededRandom random = faultRandom;
--- a/testbed/src/main/java/appleridge/testbed/simulation/ScenarioParameter.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/ScenarioParameter.java
@@ -141,6 +141,10 @@
     SILENT_NOTICE(Unit.TIME, s(4), 0, s(60)),
     /** From a server's start until discovery lists it. */
     ADD_NOTICE(Unit.TIME, s(1), 0, s(30)),
+    /** Whether lists are pushed to an agent beside each sidecar: 1 or 0. */
+    LISTS_PUSHED(Unit.COUNT, 0, 0, 1),
+    /** Time from the delivery of a drain to the last send. */
+    DRAIN_GRACE(Unit.TIME, s(2), ms(200), s(10)),
     /** Processing time of a discovery call; calls are processed one after the other. */
     CALL_COST(Unit.TIME, ms(50), 0, s(5)),
 
--- a/testbed/src/main/java/appleridge/testbed/simulation/Settings.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/Settings.java
@@ -56,7 +56,9 @@
                 .append(rank % Site.ZONES.size())
                 .append(",\"quantum\":")
                 .append(5 * Site.MS)
-                .append(",\"discovery\":\"subscribe\",\"overShareWorth\":")
+                .append(",\"discovery\":\"")
+                .append(listsPushed(plan) ? "automatic" : "subscribe")
+                .append("\",\"overShareWorth\":")
                 .append(OVER_QUOTA_WORTH)
                 .append(",\"report\":{\"how\":\"piggyback\",\"fields\":[");
         for (int i = 0; i < Site.LOAD_REPORT_FIELDS.size(); i++) {
@@ -68,6 +70,10 @@
         return text.append("}}").toString();
     }
 
+    private static boolean listsPushed(Plan plan) {
+        return plan.size(ScenarioParameter.LISTS_PUSHED) > 0;
+    }
+
     private static void appendClasses(StringBuilder text, Plan plan) {
         text.append("\"profiles\":[");
         for (int i = 0; i < RequestClasses.ALL.size(); i++) {
@@ -146,12 +152,12 @@
     }
 
     private static void appendRules(StringBuilder text, Plan plan) {
-        text.append("\"rules\":{\"answerSlack\":")
-                .append(Site.ANSWER_SLACK)
-                .append(",\"askWithin\":")
-                .append(plan.size(ScenarioParameter.ASK_WITHIN))
-                .append(",\"stopSendingWithin\":")
-                .append(Site.DRAIN_GRACE)
+        text.append("\"rules\":{\"answerSlack\":").append(Site.ANSWER_SLACK);
+        if (!listsPushed(plan)) {
+            text.append(",\"askWithin\":").append(plan.size(ScenarioParameter.ASK_WITHIN));
+        }
+        text.append(",\"stopSendingWithin\":")
+                .append(plan.size(ScenarioParameter.DRAIN_GRACE))
                 .append(",\"coldShare\":")
                 .append(Site.COLD_SHARE)
                 .append(",\"rampTime\":")
--- a/testbed/src/main/java/appleridge/testbed/simulation/World.java
+++ b/testbed/src/main/java/appleridge/testbed/simulation/World.java
@@ -87,6 +87,9 @@
         evidence.discoverySources(
                 plan.count(ScenarioParameter.MEMBERSHIP) != 1,
                 plan.count(ScenarioParameter.MEMBERSHIP) > 0);
+        if (plan.count(ScenarioParameter.LISTS_PUSHED) > 0) {
+            evidence.listsPushed();
+        }
         Instances instances = new Instances(day);
         DeliveredEndpointUpdates delivered = new DeliveredEndpointUpdates(evidence);
         fleet = new Fleet(plan, instances);
