The pause between failed calls holds for agents only

Need: a shared service that is polled within a second was asked again after 12 to 25 ms when a call failed, and since after 60 ms at the soonest; sites that are asked for lists are to be as they were. Change: the pause is asked for a local agent alone. Result: the tests of discovery, of its staleness and of the coordinator pass.

--- a/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
+++ b/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
@@ -25,8 +25,8 @@
     private static final long MIN_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /**
-     * The shortest time between two calls if the first one failed. Far shorter than the 250 ms
-     * within which a drain may have to take effect that is known again.
+     * The shortest time between two calls to a local agent if the first one failed. Far shorter
+     * than the 250 ms within which a drain may have to take effect that the agent knows again.
      */
     private static final long MIN_FAILED_CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
@@ -99,7 +99,7 @@
         watching = on;
         if (on && !calls.isInFlight()) {
             long rest = calls.sentAtNanos() + MIN_FAILED_CALL_INTERVAL_NANOS - loop.nanoTime();
-            if (failing && rest > 0) {
+            if (failing && pollPolicy.isLocalAgent() && rest > 0) {
                 calls.scheduleNext(rest, this::watchAgain);
             } else {
                 watch();
