--- a/testbed/src/test/java/appleridge/testbed/simulation/SettingsTest.java
+++ b/testbed/src/test/java/appleridge/testbed/simulation/SettingsTest.java
@@ -35,9 +35,16 @@
             var settings = config.settings();
             assertEquals(9, settings.tenants().size());
             assertEquals(DiscoveryMode.SUBSCRIBED, settings.discoveryMode());
+            boolean pushed = plan.size(ScenarioParameter.LISTS_PUSHED) > 0;
+            assertEquals(pushed, config.pollsLocalAgent());
+            if (!pushed) {
+                assertEquals(
+                        plan.size(ScenarioParameter.ASK_WITHIN),
+                        settings.safetyLimits().pollIntervalNanos());
+            }
             assertEquals(
-                    plan.size(ScenarioParameter.ASK_WITHIN),
-                    settings.safetyLimits().pollIntervalNanos());
+                    plan.size(ScenarioParameter.DRAIN_GRACE),
+                    settings.safetyLimits().drainGraceNanos());
             assertEquals(
                     plan.size(ScenarioParameter.RETRY_AFTER) > 0,
                     settings.capabilities().retryAfter());
