--- a/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
+++ b/sidecar/src/main/java/appleridge/discovery/registry/RegistryDiscovery.java
@@ -25,8 +25,8 @@
     private static final long MIN_WATCH_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     /**
-     * The shortest time between two calls to a local agent if the first one failed. Far shorter
-     * than the 250 ms within which a drain may have to take effect that the agent knows again.
+     * The shortest time between two calls to a local agent if the first one failed: short against
+     * any drain grace, in which the first answer after an outage has to arrive.
      */
     private static final long MIN_FAILED_CALL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
--- a/sidecar/src/test/java/appleridge/daemon/DiscoveryOutageIT.java
+++ b/sidecar/src/test/java/appleridge/daemon/DiscoveryOutageIT.java
@@ -102,9 +102,10 @@
         }
     }
 
-    private static void awaitRejected(ClosedLoopClients clients) throws InterruptedException {
+    private static void awaitRejected(ClosedLoopClients clients, int fromIndex)
+            throws InterruptedException {
         long until = after(System.nanoTime(), TimeUnit.SECONDS.toMillis(10));
-        while (clients.count(0, 503) < 20) {
+        while (clients.count(fromIndex, 503) < 20) {
             assertTrue(System.nanoTime() < until, "requests are not rejected in the outage");
             Thread.sleep(5);
         }
@@ -165,11 +166,12 @@
         sidecar.awaitReady();
         int sentBeforeReady = clients.sentRequests().size();
         sleepUntil(after(startedAt, outageMillis));
-        awaitRejected(clients);
+        long limit = after(startedAt, graceMillis + SLACK_MILLIS);
+        assertEquals(0, begunAfter(draining, limit), "sent in the outage to the draining host");
+        awaitRejected(clients, sentBeforeReady);
         agent.endOutage();
         awaitServed(clients);
         List<SentRequest> requests = clients.finish();
-        long limit = after(startedAt, graceMillis + SLACK_MILLIS);
         assertEquals(0, begunAfter(draining, limit), "sent to the draining host");
         assertTrue(begunAfter(other, limit) > 0);
         assertRejectedSoon(requests.subList(sentBeforeReady, requests.size()));
@@ -193,7 +195,7 @@
         sidecar.awaitReady();
         assertTrue(System.nanoTime() < after(startedAt, MAX_READY_MILLIS), "ready too late");
         ClosedLoopClients clients = startClients(sidecar);
-        awaitRejected(clients);
+        awaitRejected(clients, 0);
         assertEquals(0, clients.count(0, 200));
         agent.endOutage();
         awaitServed(clients);
